Define the interfaces between requests and coordination

Cause: caller and endpoint code is written at the same time as leases, limits, admission and claims, so both sides need a fixed boundary. Ruled out: using the decision classes directly, which would tie request code to messages between VMs and make hand-written fakes large. Conclusion: local and fleet-wide implementations can be exchanged.

--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/caller/CallOutcome.java
@@ -0,0 +1,49 @@
+package org.banyanstile.server.caller;
+
+/**
+ * Outcome of a once-only call.
+ *
+ * @author banyanstile contributors
+ */
+public sealed interface CallOutcome {
+
+	/**
+	 * The endpoint ran the call and answered.
+	 *
+	 * @param answer the answer
+	 * @author banyanstile contributors
+	 */
+	record Answered(StoredAnswer answer) implements CallOutcome {
+
+	}
+
+	/**
+	 * The call did not run and will not run.
+	 *
+	 * @param reason why, one of {@link NotRunReason}
+	 * @author banyanstile contributors
+	 */
+	record NotRun(NotRunReason reason) implements CallOutcome {
+
+	}
+
+	/**
+	 * The endpoint refused the call.
+	 *
+	 * @param answer the answer
+	 * @author banyanstile contributors
+	 */
+	record RefusedByEndpoint(StoredAnswer answer) implements CallOutcome {
+
+	}
+
+	/**
+	 * It is not known whether the call ran.
+	 *
+	 * @author banyanstile contributors
+	 */
+	record OutcomeUnknown() implements CallOutcome {
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/caller/ClaimKey.java
@@ -0,0 +1,15 @@
+package org.banyanstile.server.caller;
+
+import org.banyanstile.core.common.TeamId;
+
+/**
+ * Identity of a once-only call.
+ *
+ * @param team the team
+ * @param keyHash SHA-256 of the idempotency key, in hexadecimal
+ * @param bodyHash SHA-256 of method, path and body, in hexadecimal
+ * @author banyanstile contributors
+ */
+public record ClaimKey(TeamId team, String keyHash, String bodyHash) {
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/caller/ConfigurationView.java
@@ -0,0 +1,24 @@
+package org.banyanstile.server.caller;
+
+import java.util.function.Consumer;
+
+/**
+ * The configuration version in force on this VM.
+ *
+ * @author banyanstile contributors
+ */
+public interface ConfigurationView {
+
+	/**
+	 * Returns the version in force.
+	 * @return the configuration
+	 */
+	ServingConfiguration current();
+
+	/**
+	 * Calls a listener after each change of version.
+	 * @param listener the listener, called without locks held
+	 */
+	void onChange(Consumer<ServingConfiguration> listener);
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/caller/MemberDirectory.java
@@ -0,0 +1,29 @@
+package org.banyanstile.server.caller;
+
+import java.util.List;
+
+/**
+ * VMs that callers may use.
+ *
+ * @author banyanstile contributors
+ */
+public interface MemberDirectory {
+
+	/**
+	 * Returns the VMs that serve, this one included unless it is leaving.
+	 * @return the VMs, in no particular order
+	 */
+	List<Member> members();
+
+	/**
+	 * A VM that serves.
+	 *
+	 * @param address caller address as {@code ip:port}
+	 * @param dataCentre name of the data centre
+	 * @author banyanstile contributors
+	 */
+	record Member(String address, String dataCentre) {
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/caller/TeamLimiter.java
@@ -0,0 +1,27 @@
+package org.banyanstile.server.caller;
+
+import org.banyanstile.core.common.TeamId;
+
+/**
+ * Enforces the rate and burst of teams.
+ *
+ * @author banyanstile contributors
+ */
+public interface TeamLimiter {
+
+	/**
+	 * Reserves tokens of a team.
+	 * @param team the team
+	 * @param tokens number of tokens
+	 * @return the decision
+	 */
+	LimitDecision reserve(TeamId team, long tokens);
+
+	/**
+	 * Ends a reservation and returns its unused part.
+	 * @param reservation the reservation
+	 * @param usedTokens tokens that were spent
+	 */
+	void settle(LimitDecision.Reserved reservation, long usedTokens);
+
+}
