--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/endpoint/ServiceClient.java
@@ -0,0 +1,57 @@
+package org.banyanstile.server.endpoint;
+
+import org.banyanstile.io.http.ConnectFailedException;
+import org.banyanstile.io.http.HttpClient;
+import org.banyanstile.io.http.HttpException;
+import org.banyanstile.io.http.HttpRequest;
+import org.banyanstile.io.http.HttpResponse;
+
+/**
+ * Client for plain services. Each call uses a new connection, so that a refused
+ * connection proves that the service did not receive the call.
+ *
+ * @author banyanstile contributors
+ */
+public final class ServiceClient {
+
+	private static final int MAX_ANSWER = 1024 * 1024;
+
+	private final HttpClient http;
+
+	private ServiceClient(HttpClient http) {
+		this.http = http;
+	}
+
+	/**
+	 * Creates a client.
+	 * @param http the HTTP client
+	 * @return the client
+	 */
+	public static ServiceClient create(HttpClient http) {
+		return new ServiceClient(http);
+	}
+
+	/**
+	 * Makes a call.
+	 * @param address address of the service
+	 * @param call the call
+	 * @return the answer, of any status
+	 * @throws EndpointUnreachableException if the service did not receive the call
+	 * @throws EndpointBrokenException if it may have received the call but did not answer
+	 */
+	public ServiceAnswer call(String address, ServiceCall call)
+			throws EndpointUnreachableException, EndpointBrokenException {
+		HttpRequest request = new HttpRequest(call.method(), address, call.path(), call.headers(), call.body(),
+				call.timeout(), true);
+		try (HttpResponse response = this.http.send(request)) {
+			return new ServiceAnswer(response.status(), response.header("Content-Type"), response.bytes(MAX_ANSWER));
+		}
+		catch (ConnectFailedException ex) {
+			throw new EndpointUnreachableException("service cannot be reached", ex);
+		}
+		catch (HttpException ex) {
+			throw new EndpointBrokenException("service did not answer", ex);
+		}
+	}
+
+}
