Add the records of the configuration and the settings

Ruled out: validation in the builders; operators' programs print JSON, and each reader has to validate that JSON anyway. Change: immutable records with builders, JSON reading and writing by Jackson, key creation and the constant-time key check. Salts, hashes and the fleet key are left out of toString.

--- /dev/null
+++ b/config/src/main/java/org/banyanstile/config/EndpointState.java
@@ -0,0 +1,24 @@
+package org.banyanstile.config;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * Whether an endpoint receives new work.
+ *
+ * @author banyanstile contributors
+ */
+public enum EndpointState {
+
+	/**
+	 * Receives new work.
+	 */
+	@JsonProperty("active")
+	ACTIVE,
+
+	/**
+	 * Completes its work and receives no new work.
+	 */
+	@JsonProperty("leaving")
+	LEAVING
+
+}
--- /dev/null
+++ b/config/src/main/java/org/banyanstile/config/VmSettings.java
@@ -0,0 +1,55 @@
+package org.banyanstile.config;
+
+import java.util.List;
+
+/**
+ * Settings of one VM, read once when the daemon starts.
+ *
+ * @param vm name of the VM
+ * @param dataCentre data centre in which it runs
+ * @param callerAddress address for callers as {@code ip:port}
+ * @param operatorAddress address for operators as {@code ip:port}
+ * @param vmAddress address for other VMs as {@code ip:port}
+ * @param tableService base URL of the table service
+ * @param vmList base URL of the platform's list of VMs
+ * @param seedVms {@code vmAddress} of VMs to ask while the table service is down
+ * @param fleetKey secret shared by the VMs of the fleet, in hexadecimal
+ * @param operatorTokenHash SHA-256 of the operators' bearer token, in hexadecimal
+ * @param vmSlots number of VM slots, the same on all VMs
+ * @param workers number of worker threads for requests
+ * @author banyanstile contributors
+ */
+public record VmSettings(String vm, String dataCentre, String callerAddress, String operatorAddress, String vmAddress,
+		String tableService, String vmList, List<String> seedVms, String fleetKey, String operatorTokenHash,
+		int vmSlots, int workers) {
+
+	/**
+	 * Copies the list.
+	 * @param vm name of the VM
+	 * @param dataCentre data centre in which it runs
+	 * @param callerAddress address for callers
+	 * @param operatorAddress address for operators
+	 * @param vmAddress address for other VMs
+	 * @param tableService base URL of the table service
+	 * @param vmList base URL of the platform's list of VMs
+	 * @param seedVms addresses of other VMs
+	 * @param fleetKey secret shared by the VMs of the fleet
+	 * @param operatorTokenHash SHA-256 of the operators' bearer token
+	 * @param vmSlots number of VM slots
+	 * @param workers number of worker threads
+	 */
+	public VmSettings {
+		seedVms = List.copyOf(seedVms);
+	}
+
+	/**
+	 * Leaves out the fleet key and the token hash, so that neither reaches a log.
+	 */
+	@Override
+	public String toString() {
+		return "VmSettings[vm=" + this.vm + ", dataCentre=" + this.dataCentre + ", callerAddress=" + this.callerAddress
+				+ ", operatorAddress=" + this.operatorAddress + ", vmAddress=" + this.vmAddress + ", vmSlots="
+				+ this.vmSlots + "]";
+	}
+
+}
--- /dev/null
+++ b/config/src/main/java/org/banyanstile/config/json/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Reading, checking and writing of the JSON forms.
+ */
+@NullMarked
+package org.banyanstile.config.json;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/config/src/main/java/org/banyanstile/config/key/OperatorToken.java
@@ -0,0 +1,48 @@
+package org.banyanstile.config.key;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * Bearer token of operators. The settings hold its SHA-256; the token is random and long,
+ * so it needs no salt.
+ *
+ * @author banyanstile contributors
+ */
+public final class OperatorToken {
+
+	private OperatorToken() {
+	}
+
+	/**
+	 * Computes the hash that the settings hold.
+	 * @param token the token
+	 * @return the hash in hexadecimal
+	 */
+	public static String hash(String token) {
+		return HexFormat.of().formatHex(digest(token));
+	}
+
+	/**
+	 * Compares a token with the hash of the settings, in a time that does not depend on
+	 * where they differ.
+	 * @param token the token that the operator sent
+	 * @param hash the hash of the settings
+	 * @return whether they belong together
+	 */
+	public static boolean matches(String token, String hash) {
+		return MessageDigest.isEqual(digest(token), HexFormat.of().parseHex(hash));
+	}
+
+	private static byte[] digest(String token) {
+		try {
+			return MessageDigest.getInstance("SHA-256").digest(token.getBytes(StandardCharsets.UTF_8));
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("this Java runtime has no SHA-256", ex);
+		}
+	}
+
+}
