--- a/config/src/main/java/org/banyanstile/config/json/ConfigurationJson.java
+++ b/config/src/main/java/org/banyanstile/config/json/ConfigurationJson.java
@@ -21,8 +21,7 @@
 
 	private static final ObjectMapper MAPPER = JsonMapper.builder()
 		.enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-		.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, DeserializationFeature.FAIL_ON_TRAILING_TOKENS,
-				DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+		.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
 		.build();
 
 	private ConfigurationJson() {
