Add request parsing, errors and the watch over running requests

Cause: a request that waits for a silent endpoint must still notice a caller that disconnects, a withdrawn key and a closed serving check within 1 s. Ruled out: relying on failing writes alone, since a request without event stream writes nothing until its answer is complete. Conclusion: handlers can block without losing a disconnect.

--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/caller/CallWatch.java
@@ -0,0 +1,128 @@
+package org.banyanstile.server.caller;
+
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Watches all running requests from one thread: polls the connections of their callers,
+ * the keys and the serving check. Without it a request that waits for a silent endpoint
+ * would notice nothing.
+ *
+ * @author banyanstile contributors
+ */
+public final class CallWatch implements AutoCloseable {
+
+	/**
+	 * A disconnect must reach the engine within 1 s, so polling uses a quarter of it.
+	 */
+	private static final long PERIOD_MILLIS = 250;
+
+	private final ConfigurationView configuration;
+
+	private final ServingCheck serving;
+
+	private final Set<Watched> calls = ConcurrentHashMap.newKeySet();
+
+	private final ScheduledExecutorService timer;
+
+	private final Executor actions;
+
+	private CallWatch(ConfigurationView configuration, ServingCheck serving, Executor actions) {
+		this.configuration = configuration;
+		this.serving = serving;
+		this.actions = actions;
+		this.timer = Executors.newSingleThreadScheduledExecutor((task) -> {
+			Thread thread = new Thread(task, "call-watch");
+			thread.setDaemon(true);
+			return thread;
+		});
+	}
+
+	/**
+	 * Starts a watch.
+	 * @param configuration the configuration
+	 * @param serving the serving check
+	 * @param actions runs the interruptions, which may block
+	 * @return the watch
+	 */
+	public static CallWatch start(ConfigurationView configuration, ServingCheck serving, Executor actions) {
+		CallWatch watch = new CallWatch(configuration, serving, actions);
+		watch.timer.scheduleWithFixedDelay(watch::poll, PERIOD_MILLIS, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+		return watch;
+	}
+
+	Watched add(CallControl control, CallerConnection connection, @Nullable Caller caller) {
+		Watched watched = new Watched(control, connection, caller);
+		this.calls.add(watched);
+		return watched;
+	}
+
+	void remove(Watched watched) {
+		this.calls.remove(watched);
+		watched.connection().stop();
+	}
+
+	private void poll() {
+		boolean mayServe = this.serving.mayServe();
+		ServingConfiguration current = this.configuration.current();
+		for (Watched watched : this.calls) {
+			AbortReason reason = reason(watched, mayServe, current);
+			if (reason != null && watched.control().reason() == null) {
+				this.actions.execute(() -> watched.control().abort(reason));
+			}
+		}
+	}
+
+	private static @Nullable AbortReason reason(Watched watched, boolean mayServe, ServingConfiguration current) {
+		if (watched.connection().isClosed()) {
+			return AbortReason.CALLER_GONE;
+		}
+		Caller caller = watched.caller();
+		if (caller != null && !current.accepts(caller)) {
+			return AbortReason.KEY_WITHDRAWN;
+		}
+		return mayServe ? null : AbortReason.NOT_SERVING;
+	}
+
+	/**
+	 * Returns the number of running requests.
+	 * @return the number
+	 */
+	public int running() {
+		return this.calls.size();
+	}
+
+	@Override
+	public void close() {
+		this.timer.shutdownNow();
+	}
+
+	/**
+	 * A request that is watched.
+	 *
+	 * @param control ends it
+	 * @param connection connection of its caller
+	 * @param caller team and key, or {@code null} on an open route
+	 * @author banyanstile contributors
+	 */
+	record Watched(CallControl control, CallerConnection connection, @Nullable Caller caller) {
+
+		@Override
+		public boolean equals(@Nullable Object other) {
+			return this == other;
+		}
+
+		@Override
+		public int hashCode() {
+			return System.identityHashCode(this);
+		}
+
+	}
+
+}
--- a/server/src/main/java/org/banyanstile/server/caller/Caller.java
+++ b/server/src/main/java/org/banyanstile/server/caller/Caller.java
@@ -1,14 +1,15 @@
 package org.banyanstile.server.caller;
 
+import org.banyanstile.config.key.AuthenticatedKey;
 import org.banyanstile.core.common.TeamId;
 
 /**
  * Team and key on whose behalf a request runs.
  *
  * @param team the team
- * @param keyId identifier of the key, which is not secret
+ * @param key the key, without its secret
  * @author banyanstile contributors
  */
-public record Caller(TeamId team, String keyId) {
+public record Caller(TeamId team, AuthenticatedKey key) {
 
 }
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/caller/RequestBody.java
@@ -0,0 +1,60 @@
+package org.banyanstile.server.caller;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.server.HttpServerExchange;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * Reads a request body with a bound on its size and on the time it takes.
+ *
+ * @author banyanstile contributors
+ */
+final class RequestBody {
+
+	private static final long READ_NANOS = Duration.ofSeconds(10).toNanos();
+
+	private static final int BUFFER_BYTES = 8192;
+
+	private RequestBody() {
+	}
+
+	static byte[] read(HttpServerExchange exchange, int maxBytes) throws RequestException, IOException {
+		if (exchange.getRequestContentLength() > maxBytes) {
+			throw tooLarge(maxBytes);
+		}
+		StreamSourceChannel channel = exchange.getRequestChannel();
+		if (channel == null) {
+			return new byte[0];
+		}
+		ByteArrayOutputStream body = new ByteArrayOutputStream();
+		ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES);
+		long deadline = System.nanoTime() + READ_NANOS;
+		int n = channel.read(buffer);
+		while (n >= 0) {
+			body.write(buffer.array(), 0, buffer.position());
+			buffer.clear();
+			if (body.size() > maxBytes) {
+				throw tooLarge(maxBytes);
+			}
+			long left = deadline - System.nanoTime();
+			if (left <= 0) {
+				throw new IOException("request body did not arrive in time");
+			}
+			if (n == 0) {
+				channel.awaitReadable(left, TimeUnit.NANOSECONDS);
+			}
+			n = channel.read(buffer);
+		}
+		return body.toByteArray();
+	}
+
+	private static RequestException tooLarge(int maxBytes) {
+		return RequestException.notRun(ErrorType.BODY_TOO_LARGE, "the body is larger than " + maxBytes + " bytes");
+	}
+
+}
