Handle chat completions and plain service calls

Cause: the thin whole path needs handlers between the listener and the clients. Ruled out: one handler thread per step; a blocking worker for each request keeps the order of slot, prefill, transfer and decode in one place. Change: chat handler with takeover, replay and re-routed transfers, service handler with once-only and repeatable calls, bounded listener, counters.

--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/caller/CallerServer.java
@@ -0,0 +1,200 @@
+package org.banyanstile.server.caller;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.xnio.IoUtils;
+import org.xnio.Options;
+
+/**
+ * Listener for callers. Requests run on a bounded pool of workers; a request beyond that
+ * is refused at once by the I/O thread, which also answers the list of VMs.
+ *
+ * @author banyanstile contributors
+ */
+public final class CallerServer implements AutoCloseable {
+
+	private static final int MAX_HEADER_BYTES = 16 * 1024;
+
+	private static final int MAX_HEADERS = 64;
+
+	private static final int MAX_CONNECTIONS = 4096;
+
+	private static final int HEADER_TIMEOUT_MILLIS = 5000;
+
+	private static final int IDLE_TIMEOUT_MILLIS = 60_000;
+
+	private static final int VALID_SECONDS = 10;
+
+	private static final long RETRY_MILLIS = 100;
+
+	private static final Logger logger = LogManager.getLogger(CallerServer.class);
+
+	private final MemberDirectory members;
+
+	private final ChatHandler chat;
+
+	private final ServiceHandler service;
+
+	private final Semaphore workers;
+
+	private final AtomicInteger running = new AtomicInteger();
+
+	private @Nullable Undertow server;
+
+	private CallerServer(RequestServices services, MemberDirectory members, int workers) {
+		this.members = members;
+		this.chat = new ChatHandler(services);
+		this.service = new ServiceHandler(services);
+		this.workers = new Semaphore(workers);
+	}
+
+	/**
+	 * Starts the listener.
+	 * @param address address to listen at
+	 * @param workers number of workers
+	 * @param services what the handlers use
+	 * @param members the VMs that callers may use
+	 * @return the listener
+	 */
+	public static CallerServer start(InetSocketAddress address, int workers, RequestServices services,
+			MemberDirectory members) {
+		CallerServer caller = new CallerServer(services, members, workers);
+		Undertow server = Undertow.builder()
+			.addHttpListener(address.getPort(), address.getHostString(), caller::handle)
+			.setWorkerThreads(workers)
+			.setIoThreads(2)
+			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+			.setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEADER_TIMEOUT_MILLIS)
+			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+			.setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+			.setSocketOption(Options.CONNECTION_HIGH_WATER, MAX_CONNECTIONS)
+			.setSocketOption(Options.CONNECTION_LOW_WATER, MAX_CONNECTIONS - 1)
+			.setSocketOption(Options.TCP_NODELAY, true)
+			.build();
+		server.start();
+		caller.server = server;
+		return caller;
+	}
+
+	/**
+	 * Returns the port that the listener is bound to.
+	 * @return the port
+	 */
+	public int port() {
+		Undertow started = Objects.requireNonNull(this.server);
+		return ((InetSocketAddress) started.getListenerInfo().get(0).getAddress()).getPort();
+	}
+
+	/**
+	 * Returns the number of requests that are running.
+	 * @return the number
+	 */
+	public int running() {
+		return this.running.get();
+	}
+
+	private void handle(HttpServerExchange exchange) {
+		if (exchange.getRequestPath().equals("/v1/vms") && exchange.getRequestMethod().equals(Methods.GET)) {
+			exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+			exchange.getResponseSender()
+				.send(ByteBuffer
+					.wrap(CallerJson.write(Map.of("vms", this.members.members(), "validForSeconds", VALID_SECONDS))));
+			return;
+		}
+		if (!this.workers.tryAcquire()) {
+			refuse(exchange);
+			return;
+		}
+		this.running.incrementAndGet();
+		exchange.dispatch(() -> {
+			try {
+				work(exchange);
+			}
+			finally {
+				this.running.decrementAndGet();
+				this.workers.release();
+			}
+		});
+	}
+
+	private static void refuse(HttpServerExchange exchange) {
+		RequestException ex = RequestException.notRun(ErrorType.OVERLOADED, "this VM has no free worker", RETRY_MILLIS);
+		exchange.setStatusCode(ex.status());
+		exchange.setPersistent(false);
+		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+		exchange.getResponseHeaders().put(Headers.RETRY_AFTER, 1);
+		exchange.getResponseSender().send(ByteBuffer.wrap(CallerJson.write(CallerJson.error(ex))));
+	}
+
+	private void work(HttpServerExchange exchange) {
+		CallerConnection connection = new CallerConnection(exchange);
+		ResponseWriter writer = new ResponseWriter(exchange, connection);
+		try {
+			route(exchange, writer, connection);
+		}
+		catch (RequestException ex) {
+			fail(writer, exchange, ex);
+		}
+		catch (IOException ex) {
+			IoUtils.safeClose(exchange.getConnection());
+		}
+		catch (RuntimeException ex) {
+			logger.error("request handler failed", ex);
+			fail(writer, exchange, RequestException.unknown(ErrorType.OUTCOME_UNKNOWN, "internal error"));
+		}
+	}
+
+	private void route(HttpServerExchange exchange, ResponseWriter writer, CallerConnection connection)
+			throws RequestException, IOException {
+		String path = exchange.getRequestPath();
+		if (path.equals("/v1/chat/completions") && exchange.getRequestMethod().equals(Methods.POST)) {
+			this.chat.handle(exchange, writer, connection);
+		}
+		else if (path.startsWith(ServiceHandler.PREFIX)) {
+			this.service.handle(exchange, writer);
+		}
+		else {
+			throw RequestException.notRun(ErrorType.NOT_FOUND, "there is no such path");
+		}
+	}
+
+	private static void fail(ResponseWriter writer, HttpServerExchange exchange, RequestException ex) {
+		try {
+			if (writer.started()) {
+				IoUtils.safeClose(exchange.getConnection());
+				return;
+			}
+			writer.sendError(ex);
+		}
+		catch (IOException failure) {
+			IoUtils.safeClose(exchange.getConnection());
+		}
+	}
+
+	/**
+	 * Ends the listener and all its connections.
+	 */
+	@Override
+	public void close() {
+		Undertow started = this.server;
+		if (started != null) {
+			started.stop();
+		}
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/caller/ChatCall.java
@@ -0,0 +1,211 @@
+package org.banyanstile.server.caller;
+
+import java.io.IOException;
+import java.util.Set;
+
+import org.banyanstile.server.endpoint.EndpointException;
+import org.banyanstile.server.endpoint.EndpointRefusedException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs one request for generated text. Used by one thread.
+ *
+ * @author banyanstile contributors
+ */
+final class ChatCall {
+
+	/**
+	 * Requests that cannot start within the target for the first token are refused before
+	 * any work; the rest of the target is for prefill and transfer.
+	 */
+	private static final long SLOT_WAIT_MILLIS = 400;
+
+	private static final int MAX_ATTEMPTS = 3;
+
+	private static final long LOST_RETRY_MILLIS = 100;
+
+	private final RequestServices services;
+
+	private final CallerRequest request;
+
+	private final Caller caller;
+
+	private final ChatRequest chat;
+
+	private final ChatOutput output;
+
+	private final CallControl control;
+
+	private final RequestLabels labels;
+
+	private final String id;
+
+	private final String bodyHash;
+
+	ChatCall(RequestServices services, CallerRequest request, Caller caller, ChatRequest chat, ChatOutput output,
+			CallControl control, RequestLabels labels, String id) {
+		this.services = services;
+		this.request = request;
+		this.caller = caller;
+		this.chat = chat;
+		this.output = output;
+		this.control = control;
+		this.labels = labels;
+		this.id = id;
+		this.bodyHash = Hashes.sha256(request.body());
+	}
+
+	/**
+	 * Runs the request to its end.
+	 * @throws RequestException if it ends with an error
+	 * @throws IOException if the caller has disconnected
+	 */
+	void run() throws RequestException, IOException {
+		String idempotencyKey = this.request.idempotencyKey();
+		if (idempotencyKey == null) {
+			requireNothingReceived();
+			answerNew(new ChatRelay(this.services, this.chat, this.output, this.control, this.labels, -1, null));
+			return;
+		}
+		StreamKey key = new StreamKey(this.caller.team(), Hashes.sha256(idempotencyKey));
+		RunningStream mine = new RunningStream(this.bodyHash, this.control);
+		RunningStream older = this.services.running().enter(key, mine);
+		ChatRelay relay = new ChatRelay(this.services, this.chat, this.output, this.control, this.labels,
+				this.request.lastEventId(), key);
+		try {
+			answerOnce(key, older, relay);
+		}
+		finally {
+			if (this.services.running().leave(key, mine)) {
+				this.services.directory().withdraw(key);
+			}
+			mine.leave(relay.handover());
+		}
+	}
+
+	private void answerOnce(StreamKey key, @Nullable RunningStream older, ChatRelay relay)
+			throws RequestException, IOException {
+		Handover handover = (older != null) ? older.supersede() : null;
+		RememberedAnswer answer = this.services.answers().find(key);
+		if (answer != null) {
+			replay(answer);
+			return;
+		}
+		if (handover == null) {
+			handover = takeOver(key);
+		}
+		if (handover != null) {
+			try {
+				this.services.metrics().superseded(this.labels);
+				relay.run(handover, this.bodyHash);
+				return;
+			}
+			catch (EndpointException ex) {
+				this.control.check();
+			}
+		}
+		if (this.output.hasSentText()) {
+			throw RequestException.unknown(ErrorType.STREAM_LOST, "the engine lost the stream");
+		}
+		requireNothingReceived();
+		answerNew(relay);
+	}
+
+	private @Nullable Handover takeOver(StreamKey key) throws RequestException {
+		TakeoverResult result = this.services.directory().takeOver(key, this.bodyHash);
+		if (result instanceof TakeoverResult.OtherBody) {
+			throw RequestException.notRun(ErrorType.KEY_REUSED, "the idempotency key was used with another body");
+		}
+		if (!(result instanceof TakeoverResult.Taken taken)) {
+			return null;
+		}
+		return this.request.configuration()
+			.endpoints()
+			.stream()
+			.filter((target) -> target.id().equals(taken.location().endpoint())
+					&& target.pool().role() == PoolRole.DECODE)
+			.findFirst()
+			.map((target) -> new Handover(taken.location().requestId(),
+					new SlotDecision.Granted(target.pool(), taken.location().requestId(), target)))
+			.orElse(null);
+	}
+
+	private void replay(RememberedAnswer answer) throws RequestException, IOException {
+		if (!answer.bodyHash().equals(this.bodyHash)) {
+			throw RequestException.notRun(ErrorType.KEY_REUSED, "the idempotency key was used with another body");
+		}
+		for (long i = this.request.lastEventId() + 1; i < answer.tokens().size(); i++) {
+			this.output.token(i, answer.tokens().get((int) i));
+		}
+		this.output.finish(answer.finish(), answer.tokens().size());
+		this.services.metrics().replayed(this.labels);
+	}
+
+	private void requireNothingReceived() throws RequestException {
+		if (this.request.lastEventId() >= 0) {
+			throw RequestException.notRun(ErrorType.STREAM_LOST, "the stream that the caller had received is gone");
+		}
+	}
+
+	private void answerNew(ChatRelay relay) throws RequestException, IOException {
+		LimitDecision.Reserved reservation = reserve();
+		this.services.metrics().accepted(this.labels);
+		this.services.retries().requestStarted();
+		try {
+			attempts(relay);
+		}
+		finally {
+			this.services.limiter().settle(reservation, relay.handedOver() ? this.chat.cost() : relay.spentTokens());
+		}
+	}
+
+	private LimitDecision.Reserved reserve() throws RequestException {
+		LimitDecision decision = this.services.limiter().reserve(this.caller.team(), this.chat.cost());
+		if (decision instanceof LimitDecision.Limited limited) {
+			throw RequestException.notRun(ErrorType.RATE_LIMITED, "the team exceeds its rate",
+					limited.retryAfterMillis());
+		}
+		if (decision instanceof LimitDecision.Reserved reserved) {
+			return reserved;
+		}
+		throw RequestException.notRun(ErrorType.RATE_LIMITED, "the request is larger than the team's burst");
+	}
+
+	private void attempts(ChatRelay relay) throws RequestException, IOException {
+		long waitUntil = System.nanoTime() + Math.min(SLOT_WAIT_MILLIS, this.request.deadlineMillis()) * 1_000_000;
+		SlotFinder finder = new SlotFinder(this.services, this.request.configuration(), demand());
+		for (int attempt = 1;; attempt++) {
+			String requestId = this.id + "." + attempt;
+			try {
+				EngineRun run = new EngineRun(this.services, this.chat, this.control, this.labels, finder, requestId,
+						waitUntil);
+				relay.run(run.prepare(), this.bodyHash);
+				return;
+			}
+			catch (EndpointException ex) {
+				this.control.check();
+				requireRetry(ex, attempt);
+			}
+		}
+	}
+
+	private void requireRetry(EndpointException ex, int attempt) throws RequestException {
+		if (this.output.hasSentText()) {
+			throw RequestException.unknown(ErrorType.STREAM_LOST, "the engine lost the stream");
+		}
+		if (ex instanceof EndpointRefusedException refused && refused.status() == 400) {
+			throw RequestException.refusedByEndpoint(refused.status(), String.valueOf(refused.getMessage()));
+		}
+		if (attempt == MAX_ATTEMPTS || !this.services.retries().tryRetry()) {
+			throw RequestException.notRun(ErrorType.OVERLOADED, "no engine completed the request", LOST_RETRY_MILLIS);
+		}
+		this.services.metrics().retried(this.labels);
+	}
+
+	private SlotDemand demand() {
+		Pool pool = new Pool(this.services.dataCentre(), this.chat.model(), PoolRole.DECODE);
+		return new SlotDemand(pool, this.caller.team(), this.chat.cost(), this.id, this.request.fingerprint(), 0,
+				Set.of());
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/caller/ChatOutput.java
@@ -0,0 +1,47 @@
+package org.banyanstile.server.caller;
+
+import java.io.IOException;
+
+/**
+ * Writes generated text to the caller.
+ *
+ * @author banyanstile contributors
+ */
+interface ChatOutput {
+
+	/**
+	 * Writes a token.
+	 * @param offset its offset
+	 * @param text its text
+	 * @throws IOException if the caller has disconnected
+	 */
+	void token(long offset, String text) throws IOException;
+
+	/**
+	 * Tells the caller that the answer goes on although the engine is silent.
+	 * @throws IOException if the caller has disconnected
+	 */
+	void idle() throws IOException;
+
+	/**
+	 * Completes the answer.
+	 * @param finish {@code stop} or {@code length}
+	 * @param tokens number of tokens of the whole answer
+	 * @throws IOException if the caller has disconnected
+	 */
+	void finish(String finish, long tokens) throws IOException;
+
+	/**
+	 * Ends the response with an error.
+	 * @param ex the error
+	 * @throws IOException if the caller has disconnected
+	 */
+	void fail(RequestException ex) throws IOException;
+
+	/**
+	 * Returns whether the caller may have received text of the answer.
+	 * @return whether it may
+	 */
+	boolean hasSentText();
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/caller/ChatRelay.java
@@ -0,0 +1,220 @@
+package org.banyanstile.server.caller;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.micrometer.core.instrument.Timer;
+import org.banyanstile.server.endpoint.AnswerStream;
+import org.banyanstile.server.endpoint.DecodeEvent;
+import org.banyanstile.server.endpoint.EndpointException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Relays the tokens of a stream to the caller, and ends the stream properly whatever
+ * happens to the caller, the key, this VM or the engine. Used by one thread, except that
+ * the handover is read after the request has ended.
+ *
+ * @author banyanstile contributors
+ */
+final class ChatRelay {
+
+	/**
+	 * Longest wait for a token before a sign of life is written; a disconnect must be
+	 * noticed within 1 s.
+	 */
+	private static final Duration WAIT = Duration.ofMillis(500);
+
+	private static final long RENEW_NANOS = Duration.ofSeconds(3).toNanos();
+
+	/**
+	 * Time for another VM to take over a stream of a VM that stopped serving.
+	 */
+	private static final long TAKEOVER_MILLIS = 5000;
+
+	private final RequestServices services;
+
+	private final ChatRequest chat;
+
+	private final ChatOutput output;
+
+	private final CallControl control;
+
+	private final RequestLabels labels;
+
+	private final long lastEventId;
+
+	private final @Nullable StreamKey key;
+
+	private final Timer interToken;
+
+	private final long startedAt = System.nanoTime();
+
+	private final List<String> tokens = new ArrayList<>();
+
+	private long firstTokenAt;
+
+	private long lastTokenAt;
+
+	private long renewedAt;
+
+	private volatile @Nullable Handover handover;
+
+	ChatRelay(RequestServices services, ChatRequest chat, ChatOutput output, CallControl control, RequestLabels labels,
+			long lastEventId, @Nullable StreamKey key) {
+		this.services = services;
+		this.chat = chat;
+		this.output = output;
+		this.control = control;
+		this.labels = labels;
+		this.lastEventId = lastEventId;
+		this.key = key;
+		this.interToken = services.metrics().interToken(labels);
+	}
+
+	/**
+	 * Relays a stream from its first token. Tokens that the caller has are skipped.
+	 * @param stream the stream
+	 * @param bodyHash hash of the request body
+	 * @throws RequestException if the request must end
+	 * @throws EndpointException if the engine lost the stream
+	 * @throws IOException if the caller has disconnected
+	 */
+	void run(Handover stream, String bodyHash) throws RequestException, EndpointException, IOException {
+		SlotOutcome outcome = SlotOutcome.CANCELLED;
+		boolean released = true;
+		String address = stream.slot().endpoint().address();
+		this.tokens.clear();
+		this.renewedAt = System.nanoTime();
+		try (AnswerStream answer = this.services.engine()
+			.answer(address, stream.requestId(), this.chat.maxTokens(), 0)) {
+			announce(stream, bodyHash);
+			String finish = relay(answer, stream);
+			outcome = SlotOutcome.COMPLETED;
+			complete(finish, bodyHash, answer);
+		}
+		catch (EndpointException ex) {
+			outcome = EngineRun.outcome(ex);
+			throw ex;
+		}
+		finally {
+			if (outcome != SlotOutcome.COMPLETED) {
+				released = end(stream);
+			}
+			if (released) {
+				this.services.slots().release(stream.slot(), outcome);
+			}
+		}
+	}
+
+	private void announce(Handover stream, String bodyHash) {
+		StreamKey present = this.key;
+		if (present != null) {
+			this.services.directory()
+				.announce(present, new StreamLocation(stream.requestId(), stream.slot().endpoint().id(), bodyHash));
+		}
+	}
+
+	private String relay(AnswerStream answer, Handover stream) throws RequestException, EndpointException, IOException {
+		while (true) {
+			this.control.check();
+			renew(stream);
+			DecodeEvent event = answer.next(WAIT);
+			if (event instanceof DecodeEvent.Finished finished) {
+				this.control.check();
+				return finished.reason();
+			}
+			if (event instanceof DecodeEvent.Chunk chunk) {
+				accept(chunk);
+			}
+			else {
+				this.output.idle();
+			}
+		}
+	}
+
+	private void accept(DecodeEvent.Chunk chunk) throws IOException {
+		this.tokens.add(chunk.text());
+		if (chunk.offset() <= this.lastEventId) {
+			return;
+		}
+		long now = System.nanoTime();
+		if (this.firstTokenAt == 0) {
+			this.firstTokenAt = now;
+			this.services.metrics().firstToken(this.labels).record(now - this.startedAt, TimeUnit.NANOSECONDS);
+		}
+		else {
+			this.interToken.record(now - this.lastTokenAt, TimeUnit.NANOSECONDS);
+		}
+		this.lastTokenAt = now;
+		this.output.token(chunk.offset(), chunk.text());
+	}
+
+	private void renew(Handover stream) {
+		long now = System.nanoTime();
+		if (now - this.renewedAt >= RENEW_NANOS) {
+			this.renewedAt = now;
+			this.services.slots().renew(stream.slot());
+		}
+	}
+
+	private void complete(String finish, String bodyHash, AnswerStream answer) throws IOException {
+		StreamKey present = this.key;
+		if (present != null) {
+			this.services.answers().remember(present, new RememberedAnswer(bodyHash, List.copyOf(this.tokens), finish));
+		}
+		this.services.metrics().resumed(this.labels, answer.resumes());
+		this.output.finish(finish, this.tokens.size());
+		this.services.metrics().answered(this.labels);
+		long gaps = Math.max(1, this.tokens.size() - 1);
+		this.services.metrics()
+			.answeredInTime(this.labels, this.firstTokenAt - this.startedAt,
+					(this.lastTokenAt - this.firstTokenAt) / gaps);
+	}
+
+	/**
+	 * Ends a stream that is not complete.
+	 * @param stream the stream
+	 * @return whether its slot is free now
+	 */
+	private boolean end(Handover stream) {
+		String address = stream.slot().endpoint().address();
+		AbortReason reason = this.control.reason();
+		if (this.key != null && reason == AbortReason.SUPERSEDED) {
+			this.handover = stream;
+			return false;
+		}
+		if (this.key != null && reason == AbortReason.NOT_SERVING) {
+			this.services.canceller()
+				.cancelUnlessTaken(address, stream.requestId(), this.services.engine().holder(), TAKEOVER_MILLIS);
+			return false;
+		}
+		this.services.canceller().cancel(address, stream.requestId());
+		this.services.metrics().cancelled(this.labels);
+		return true;
+	}
+
+	/**
+	 * Returns the stream that goes on at the engine for a repeat.
+	 * @return the stream, or {@code null}
+	 */
+	@Nullable
+	Handover handover() {
+		return this.handover;
+	}
+
+	boolean handedOver() {
+		return this.handover != null;
+	}
+
+	/**
+	 * Returns the tokens that the request has spent.
+	 * @return the number
+	 */
+	long spentTokens() {
+		return this.tokens.isEmpty() ? 0 : (long) this.chat.promptTokens() + this.tokens.size();
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/caller/OnceOutcomes.java
@@ -0,0 +1,49 @@
+package org.banyanstile.server.caller;
+
+/**
+ * Maps the outcomes of once-only calls to answers and errors.
+ *
+ * @author banyanstile contributors
+ */
+final class OnceOutcomes {
+
+	private static final long STORE_RETRY_MILLIS = 1000;
+
+	private static final long RETRY_MILLIS = 250;
+
+	private static final int MAX_MESSAGE = 1000;
+
+	private OnceOutcomes() {
+	}
+
+	static StoredAnswer answer(CallOutcome outcome) throws RequestException {
+		if (outcome instanceof CallOutcome.Answered answered) {
+			return answered.answer();
+		}
+		if (outcome instanceof CallOutcome.RefusedByEndpoint refused) {
+			throw refused(refused.answer());
+		}
+		if (outcome instanceof CallOutcome.NotRun notRun) {
+			throw notRun(notRun.reason());
+		}
+		throw RequestException.unknown(ErrorType.OUTCOME_UNKNOWN, "it is not known whether the call ran");
+	}
+
+	static RequestException refused(StoredAnswer answer) {
+		String body = answer.body();
+		return RequestException.refusedByEndpoint(answer.status(),
+				"the endpoint refused: " + body.substring(0, Math.min(MAX_MESSAGE, body.length())));
+	}
+
+	private static RequestException notRun(NotRunReason reason) {
+		return switch (reason) {
+			case STORE_UNAVAILABLE -> RequestException.notRun(ErrorType.STORE_UNAVAILABLE,
+					"the call cannot be claimed because the store is not available", STORE_RETRY_MILLIS);
+			case NOT_SERVING -> RequestException.notRun(ErrorType.NOT_SERVING, "this VM may not serve now", 0);
+			case NO_ENDPOINT ->
+				RequestException.notRun(ErrorType.OVERLOADED, "no endpoint accepted a connection", RETRY_MILLIS);
+			case OVERLOADED -> RequestException.notRun(ErrorType.OVERLOADED, "no endpoint is free", RETRY_MILLIS);
+		};
+	}
+
+}
--- a/server/src/main/java/org/banyanstile/server/caller/RequestException.java
+++ b/server/src/main/java/org/banyanstile/server/caller/RequestException.java
@@ -56,6 +56,17 @@
 		return new RequestException(type, RunState.UNKNOWN, type.status(), message, -1);
 	}
 
+	/**
+	 * Returns an error for a request that may have run and may be repeated.
+	 * @param type type of the error
+	 * @param message message for the caller
+	 * @param retryAfterMillis time after which a repeat can succeed
+	 * @return the error
+	 */
+	public static RequestException unknown(ErrorType type, String message, long retryAfterMillis) {
+		return new RequestException(type, RunState.UNKNOWN, type.status(), message, retryAfterMillis);
+	}
+
 	/**
 	 * Returns an error for a request that the endpoint refused.
 	 * @param status status code of the endpoint
--- a/server/src/main/java/org/banyanstile/server/caller/ResponseWriter.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ResponseWriter.java
@@ -22,10 +22,13 @@
 
 	private final HttpServerExchange exchange;
 
+	private final CallerConnection connection;
+
 	private @Nullable StreamSinkChannel channel;
 
-	ResponseWriter(HttpServerExchange exchange) {
+	ResponseWriter(HttpServerExchange exchange, CallerConnection connection) {
 		this.exchange = exchange;
+		this.connection = connection;
 	}
 
 	boolean started() {
@@ -54,6 +57,8 @@
 	}
 
 	void end() throws IOException {
+		// After the last byte the server reads the next request from the connection.
+		this.connection.stop();
 		StreamSinkChannel sink = sink();
 		sink.shutdownWrites();
 		flush(sink, System.nanoTime() + WRITE_NANOS);
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/caller/ServiceHandler.java
@@ -0,0 +1,158 @@
+package org.banyanstile.server.caller;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.UUID;
+
+import io.undertow.server.HttpServerExchange;
+import org.banyanstile.core.common.TeamId;
+import org.banyanstile.server.endpoint.ServiceCall;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Handles calls of plain services.
+ *
+ * @author banyanstile contributors
+ */
+final class ServiceHandler {
+
+	static final String PREFIX = "/v1/services/";
+
+	/**
+	 * A plain call counts as one token, so that a team cannot send any number of them.
+	 */
+	private static final long COST = 1;
+
+	private static final long MAX_WAIT_MILLIS = 30_000;
+
+	private static final long SLOT_WAIT_MILLIS = 1000;
+
+	private final RequestServices services;
+
+	ServiceHandler(RequestServices services) {
+		this.services = services;
+	}
+
+	void handle(HttpServerExchange exchange, ResponseWriter writer) throws RequestException, IOException {
+		ServingConfiguration configuration = this.services.configuration().current();
+		ServiceRoute route = route(exchange, configuration);
+		CallerRequest request = CallerRequest.read(exchange, configuration, route.open());
+		Caller caller = request.caller();
+		String team = (caller != null) ? caller.team().name() : "-";
+		RequestLabels labels = new RequestLabels(team, route.service() + route.path(),
+				this.services.dataCentre().name());
+		try {
+			StoredAnswer answer = answer(request, caller, route, labels);
+			this.services.metrics().answered(labels);
+			this.services.metrics().objective(labels, true);
+			String type = (answer.contentType() != null) ? answer.contentType() : "application/octet-stream";
+			writer.send(answer.status(), type, answer.body().getBytes(StandardCharsets.UTF_8));
+		}
+		catch (RequestException ex) {
+			this.services.metrics().refused(labels, ex);
+			throw ex;
+		}
+	}
+
+	private static ServiceRoute route(HttpServerExchange exchange, ServingConfiguration configuration)
+			throws RequestException {
+		String rest = exchange.getRequestPath().substring(PREFIX.length());
+		int slash = rest.indexOf('/');
+		ServiceRoute route = (slash > 0) ? configuration.route(rest.substring(0, slash),
+				exchange.getRequestMethod().toString(), rest.substring(slash)) : null;
+		if (route == null) {
+			throw RequestException.notRun(ErrorType.NOT_FOUND, "there is no such route");
+		}
+		return route;
+	}
+
+	private StoredAnswer answer(CallerRequest request, @Nullable Caller caller, ServiceRoute route,
+			RequestLabels labels) throws RequestException {
+		if (!this.services.serving().mayServe()) {
+			throw RequestException.notRun(ErrorType.NOT_SERVING, "this VM may not serve now", 0);
+		}
+		if (!route.idempotent() && caller == null) {
+			throw RequestException.notRun(ErrorType.UNAUTHORIZED, "a call that must not be repeated needs a key");
+		}
+		if (!route.idempotent() && request.idempotencyKey() == null) {
+			throw RequestException.notRun(ErrorType.INVALID_REQUEST, "this route requires an Idempotency-Key");
+		}
+		LimitDecision.Reserved reservation = (caller != null) ? reserve(caller) : null;
+		this.services.metrics().accepted(labels);
+		try {
+			ServiceDispatch dispatch = dispatch(request, caller, route, labels);
+			return (route.idempotent() || caller == null) ? dispatch.repeatable() : once(request, caller, dispatch);
+		}
+		finally {
+			if (reservation != null) {
+				this.services.limiter().settle(reservation, COST);
+			}
+		}
+	}
+
+	private LimitDecision.Reserved reserve(Caller caller) throws RequestException {
+		LimitDecision decision = this.services.limiter().reserve(caller.team(), COST);
+		if (decision instanceof LimitDecision.Reserved reserved) {
+			return reserved;
+		}
+		long retryAfter = (decision instanceof LimitDecision.Limited limited) ? limited.retryAfterMillis() : -1;
+		throw RequestException.notRun(ErrorType.RATE_LIMITED, "the team exceeds its rate", retryAfter);
+	}
+
+	private ServiceDispatch dispatch(CallerRequest request, @Nullable Caller caller, ServiceRoute route,
+			RequestLabels labels) {
+		HttpServerExchange exchange = request.exchange();
+		String id = UUID.randomUUID().toString();
+		Map<String, String> headers = new LinkedHashMap<>(KeyScrubber.headers(exchange, request.presentedKey()));
+		headers.put("X-Request-Id", id);
+		if (caller != null) {
+			headers.put("X-Team", caller.team().name());
+		}
+		String idempotencyKey = request.idempotencyKey();
+		if (idempotencyKey != null) {
+			headers.put("Idempotency-Key", Hashes.sha256(labels.team() + "/" + idempotencyKey));
+		}
+		String query = KeyScrubber.query(exchange.getQueryString(), request.presentedKey());
+		String path = route.path() + (query.isEmpty() ? "" : "?" + query);
+		ServiceCall call = new ServiceCall(route.method(), path, headers, request.body(),
+				Duration.ofMillis(Math.min(MAX_WAIT_MILLIS, request.deadlineMillis())));
+		Pool pool = new Pool(this.services.dataCentre(), route.service(), PoolRole.SERVICE);
+		TeamId team = (caller != null) ? caller.team() : TeamId.of("open");
+		SlotDemand demand = new SlotDemand(pool, team, COST, id, request.fingerprint(), 0, Set.of());
+		return new ServiceDispatch(this.services, new SlotFinder(this.services, request.configuration(), demand), call,
+				id, Math.min(SLOT_WAIT_MILLIS, request.deadlineMillis()), labels);
+	}
+
+	private StoredAnswer once(CallerRequest request, Caller caller, ServiceDispatch dispatch) throws RequestException {
+		ClaimKey key = new ClaimKey(caller.team(), Hashes.sha256(String.valueOf(request.idempotencyKey())),
+				dispatch.hash());
+		ClaimDecision decision = this.services.claims().claim(key);
+		if (decision instanceof ClaimDecision.KeyReused) {
+			throw RequestException.notRun(ErrorType.KEY_REUSED, "the idempotency key was used with another request");
+		}
+		if (decision instanceof ClaimDecision.InProgress running) {
+			throw RequestException.unknown(ErrorType.OUTCOME_UNKNOWN, "the same call is still running",
+					running.retryAfterMillis());
+		}
+		if (decision instanceof ClaimDecision.Run run) {
+			return OnceOutcomes.answer(runOnce(run, dispatch));
+		}
+		return OnceOutcomes.answer(((ClaimDecision.Decided) decision).outcome());
+	}
+
+	private CallOutcome runOnce(ClaimDecision.Run run, ServiceDispatch dispatch) {
+		CallOutcome outcome = new CallOutcome.OutcomeUnknown();
+		try {
+			outcome = dispatch.once();
+			return outcome;
+		}
+		finally {
+			this.services.claims().complete(run, outcome);
+		}
+	}
+
+}
--- a/server/src/main/java/org/banyanstile/server/caller/StreamDirectory.java
+++ b/server/src/main/java/org/banyanstile/server/caller/StreamDirectory.java
@@ -1,35 +1,32 @@
 package org.banyanstile.server.caller;
 
-import org.jspecify.annotations.Nullable;
-
 /**
- * Fleet-wide directory of the streams that run.
+ * Fleet-wide directory of the requests that generate text, by idempotency key.
  *
  * @author banyanstile contributors
  */
 public interface StreamDirectory {
 
 	/**
-	 * Announces a stream of this VM.
+	 * Makes this VM the one that serves a request. A VM that served it before ends its
+	 * connection to the caller without cancelling the stream at the engine.
 	 * @param key identity of the request
-	 * @param location where it runs
+	 * @param bodyHash hash of the request body, in hexadecimal
+	 * @return what ran before
 	 */
-	void announce(StreamKey key, StreamLocation location);
+	TakeoverResult takeOver(StreamKey key, String bodyHash);
 
 	/**
-	 * Removes a stream of this VM.
+	 * Announces where a stream of this VM runs.
 	 * @param key identity of the request
-	 * @param location where it ran
+	 * @param location where it runs
 	 */
-	void withdraw(StreamKey key, StreamLocation location);
+	void announce(StreamKey key, StreamLocation location);
 
 	/**
-	 * Finds a stream that another VM serves and makes that VM end its connection to the
-	 * caller, without cancelling the stream at the engine.
+	 * Removes a request that this VM no longer serves.
 	 * @param key identity of the request
-	 * @return where the stream runs, or {@code null} if no other VM serves it
 	 */
-	@Nullable
-	StreamLocation takeOver(StreamKey key);
+	void withdraw(StreamKey key);
 
 }
--- a/server/src/main/java/org/banyanstile/server/endpoint/EngineClient.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/EngineClient.java
@@ -55,6 +55,14 @@
 		return new EngineClient(http, holder);
 	}
 
+	/**
+	 * Returns the VM and epoch in whose name calls are made now.
+	 * @return the holder
+	 */
+	public String holder() {
+		return this.holder.get();
+	}
+
 	/**
 	 * Computes the KV cache of a prompt.
 	 * @param address address of the engine
