Validate configurations and settings, and compute differences

Cause: a misspelt key or a data centre that does not exist must not reach the fleet, and the loser of a race needs to see what the winner changed. Ruled out: the validator's own texts as messages; they quote regular expressions. Each schema part has a description of what is allowed, and problems quote it. Change: JSON schemas (draft 2020-12) for both files, checks of uniqueness and references, warnings for a burst below the largest request, for teams without an active key and for routes without an endpoint. Conclusion: both examples and the daemon's settings can be checked offline.

--- /dev/null
+++ b/config/src/main/java/org/banyanstile/config/diff/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Difference of two versions of the configuration.
+ */
+@NullMarked
+package org.banyanstile.config.diff;
+
+import org.jspecify.annotations.NullMarked;
--- a/config/src/main/java/org/banyanstile/config/json/ConfigurationJson.java
+++ b/config/src/main/java/org/banyanstile/config/json/ConfigurationJson.java
@@ -3,9 +3,11 @@
 import java.io.UncheckedIOException;
 import java.util.List;
 
+import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -24,6 +26,10 @@
 		.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
 		.build();
 
+	private static final Schema CONFIGURATION_SCHEMA = Schema.load("fleet-configuration.schema.json");
+
+	private static final Schema SETTINGS_SCHEMA = Schema.load("vm-settings.schema.json");
+
 	private ConfigurationJson() {
 	}
 
@@ -35,7 +41,9 @@
 	 * @throws ConfigurationException if the text is not a valid configuration
 	 */
 	public static FleetConfiguration readConfiguration(String file, String json) throws ConfigurationException {
-		return read(file, json, FleetConfiguration.class);
+		FleetConfiguration configuration = read(file, json, CONFIGURATION_SCHEMA, FleetConfiguration.class);
+		requireNone(ConfigurationChecks.check(file, configuration));
+		return configuration;
 	}
 
 	/**
@@ -46,7 +54,9 @@
 	 * @throws ConfigurationException if the text is not valid settings
 	 */
 	public static VmSettings readSettings(String file, String json) throws ConfigurationException {
-		return read(file, json, VmSettings.class);
+		VmSettings settings = read(file, json, SETTINGS_SCHEMA, VmSettings.class);
+		requireNone(Addresses.check(file, settings));
+		return settings;
 	}
 
 	/**
@@ -76,12 +86,24 @@
 		return write(MAPPER.copy().enable(SerializationFeature.INDENT_OUTPUT), settings);
 	}
 
-	private static <T> T read(String file, String json, Class<T> type) throws ConfigurationException {
+	private static <T> T read(String file, String json, Schema schema, Class<T> type) throws ConfigurationException {
 		try {
-			return MAPPER.readValue(json, type);
+			JsonNode document = MAPPER.readTree(json);
+			requireNone(schema.validate(file, document));
+			return MAPPER.treeToValue(document, type);
 		}
 		catch (JsonProcessingException ex) {
-			throw new ConfigurationException(List.of(new Problem(file, "$", "?", ex.getOriginalMessage())));
+			JsonLocation location = ex.getLocation();
+			String position = (location != null) ? "line " + location.getLineNr() + ", column " + location.getColumnNr()
+					: "?";
+			throw new ConfigurationException(
+					List.of(new Problem(file, "$", position, "must be JSON: " + ex.getOriginalMessage())));
+		}
+	}
+
+	private static void requireNone(List<Problem> problems) throws ConfigurationException {
+		if (!problems.isEmpty()) {
+			throw new ConfigurationException(problems);
 		}
 	}
 
