--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/lease/VmCoordinator.java
@@ -0,0 +1,398 @@
+package org.banyanstile.core.lease;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import org.banyanstile.core.common.VmId;
+import org.banyanstile.core.membership.Heartbeat;
+import org.banyanstile.core.membership.PeerReport;
+import org.banyanstile.core.membership.PeerTable;
+import org.banyanstile.core.membership.RegisteredVms;
+import org.banyanstile.core.membership.ServingGate;
+import org.banyanstile.core.membership.StoreQuorum;
+import org.banyanstile.core.membership.VmState;
+import org.banyanstile.core.store.Row;
+import org.banyanstile.core.store.RowCodec;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * All coordination decisions of one VM. The embedding program executes the store calls
+ * that {@link #next} asks for, one at a time, and passes in heartbeats and the VM list.
+ * Not safe for use by several threads.
+ *
+ * @author banyanstile contributors
+ */
+public final class VmCoordinator {
+
+	/**
+	 * Row that is read as a sign of store contact; it names the configuration version.
+	 */
+	public static final String HEAD_KEY = "config/head";
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private static final long SCAN_NANOS = 5 * SECOND;
+
+	/**
+	 * Pause after a failed call. Half the grace of a lease that depends on the outage
+	 * rule, so that it is renewed in time when the store returns.
+	 */
+	private static final long RETRY_NANOS = SECOND / 2;
+
+	private static final int READS_PER_SECOND = 500;
+
+	private static final int SCAN_LIMIT = 10_000;
+
+	private final VmId self;
+
+	private final PeerTable peers;
+
+	private final RegisteredVms registered = new RegisteredVms();
+
+	private final ServingGate gate;
+
+	private final StoreQuorum quorum;
+
+	private final SlotTable slots;
+
+	private final SlotLease lease;
+
+	private final PartitionTable partitions;
+
+	private final RandomGenerator random;
+
+	private Issuer issuer = Issuer.NONE;
+
+	private long nextSlotScan;
+
+	private long nextPartitionScan;
+
+	private long nextPoll;
+
+	private long notBefore;
+
+	private boolean started;
+
+	private boolean scanned;
+
+	private @Nullable Row head;
+
+	private VmCoordinator(SlotRecord template, int slotCount, RowCodec codec, RandomGenerator random) {
+		this.self = template.vm();
+		this.random = random;
+		this.peers = PeerTable.create(random.nextLong(1, 1L << 40));
+		this.gate = ServingGate.create(this.self, this.peers, this.registered);
+		this.quorum = StoreQuorum.create(this.gate);
+		this.slots = SlotTable.create(codec);
+		OperationIds ids = OperationIds.create(this.self, random);
+		this.lease = SlotLease.create(template, slotCount, ids);
+		this.partitions = PartitionTable.create(ids);
+	}
+
+	/**
+	 * Creates the coordinator of a VM.
+	 * @param template name and addresses of this VM; it has bound {@code vmAddress}
+	 * @param slotCount number of slots of the fleet
+	 * @param codec codec of the rows
+	 * @param random source of jitter and operation identifiers
+	 * @return the coordinator
+	 */
+	public static VmCoordinator create(SlotRecord template, int slotCount, RowCodec codec, RandomGenerator random) {
+		return new VmCoordinator(template, slotCount, codec, random);
+	}
+
+	/**
+	 * Evaluates all time limits. Call at least four times a second, also while a store
+	 * call is in progress.
+	 * @param now the current time
+	 */
+	public void tick(long now) {
+		this.quorum.update(now);
+		this.lease.check(now, this.gate.outage(now));
+	}
+
+	/**
+	 * Returns the next store call.
+	 * @param now the current time
+	 * @return the call, or {@code null} if nothing is due
+	 */
+	public @Nullable StoreStep next(long now) {
+		tick(now);
+		if (!this.started) {
+			this.started = true;
+			this.notBefore = now;
+			this.nextSlotScan = now;
+			this.nextPartitionScan = now;
+			this.nextPoll = now;
+		}
+		if (now - this.notBefore < 0) {
+			return null;
+		}
+		boolean permitted = this.quorum.permitsTakeover(now);
+		StoreStep step = this.scanned ? this.lease.next(now, this.slots, permitted || this.registered.all().isEmpty())
+				: null;
+		this.issuer = Issuer.LEASE;
+		if (step == null) {
+			step = scan(now);
+		}
+		if (step == null) {
+			step = this.partitions.next(now, held(now), this.slots, permitted);
+			this.issuer = Issuer.PARTITIONS;
+		}
+		if (step == null && now - this.nextPoll >= 0) {
+			step = new StoreStep.Read(List.of(HEAD_KEY), now);
+			this.issuer = Issuer.POLL;
+		}
+		return step;
+	}
+
+	private @Nullable StoreStep scan(long now) {
+		if (now - this.nextSlotScan >= 0) {
+			this.issuer = Issuer.SLOT_SCAN;
+			return new StoreStep.Scan(SlotRecord.PREFIX, SCAN_LIMIT, now);
+		}
+		if (now - this.nextPartitionScan >= 0) {
+			this.issuer = Issuer.PARTITION_SCAN;
+			return new StoreStep.Scan(PartitionRecord.PREFIX, SCAN_LIMIT, now);
+		}
+		return null;
+	}
+
+	/**
+	 * Applies the result of the call that {@link #next} returned last.
+	 * @param step the call
+	 * @param reply its result
+	 * @param now time at which the reply was received
+	 */
+	public void complete(StoreStep step, StoreReply reply, long now) {
+		if (reply instanceof StoreReply.Failed || reply instanceof StoreReply.Unknown) {
+			this.notBefore = now + RETRY_NANOS / 2 + this.random.nextLong(RETRY_NANOS / 2);
+		}
+		else {
+			this.gate.contacted(step.sentAt());
+		}
+		if (step instanceof StoreStep.Transact transact) {
+			if (this.issuer == Issuer.LEASE) {
+				this.lease.written(transact, reply, this.slots, now);
+				this.registered.setNamed(this.slots.named());
+			}
+			else {
+				this.partitions.written(transact, reply, this.slots, now);
+			}
+		}
+		else if (reply instanceof StoreReply.Rows rows) {
+			read(rows.rows(), now);
+		}
+		tick(now);
+	}
+
+	private void read(List<Row> rows, long now) {
+		switch (this.issuer) {
+			case LEASE -> this.lease.readBack(rows, this.slots, now);
+			case PARTITIONS -> this.partitions.readBack(rows, this.slots);
+			case SLOT_SCAN -> {
+				this.slots.observeAll(rows, now);
+				this.registered.setNamed(this.slots.named());
+				this.scanned = true;
+				this.nextSlotScan = now + SCAN_NANOS;
+			}
+			case PARTITION_SCAN -> {
+				this.partitions.observeAll(rows, this.slots);
+				this.nextPartitionScan = now + SCAN_NANOS;
+			}
+			default -> {
+				this.head = rows.isEmpty() ? null : rows.get(0);
+				this.nextPoll = now + Math.max(SECOND, this.slots.all().size() * SECOND / READS_PER_SECOND);
+			}
+		}
+	}
+
+	/**
+	 * Records a heartbeat of another VM.
+	 * @param heartbeat the heartbeat
+	 * @param now time of receipt
+	 */
+	public void receive(Heartbeat heartbeat, long now) {
+		this.peers.receive(heartbeat, now);
+	}
+
+	/**
+	 * Begins a round of heartbeats.
+	 * @param now time before they are sent
+	 * @return the heartbeat without echo and promise
+	 */
+	public Heartbeat beginHeartbeats(long now) {
+		SlotRecord held = held(now);
+		int slot = (held != null) ? held.slot() : Heartbeat.NO_SLOT;
+		long epoch = (held != null) ? held.epoch() : 0;
+		return new Heartbeat(this.self, slot, epoch, this.gate.configVersion(), this.gate.storeAgeMillis(now),
+				this.lease.state(), false, this.peers.beginRound(now), 0);
+	}
+
+	/**
+	 * Completes a heartbeat for one receiver.
+	 * @param round the result of {@link #beginHeartbeats}
+	 * @param receiver the receiver
+	 * @param floorsSuspended the promise to the receiver
+	 * @return the heartbeat
+	 */
+	public Heartbeat address(Heartbeat round, VmId receiver, boolean floorsSuspended) {
+		return new Heartbeat(round.vm(), round.slot(), round.epoch(), round.configVersion(), round.storeAgeMillis(),
+				round.state(), floorsSuspended, round.sequence(), this.peers.echoFor(receiver));
+	}
+
+	/**
+	 * Applies a successful read of the platform's VM list.
+	 * @param listed the listed VMs
+	 * @param now the current time
+	 */
+	public void setListed(Collection<VmId> listed, long now) {
+		this.registered.setListed(listed, now);
+	}
+
+	/**
+	 * Adopts slot rows from a peer, for a VM that starts while the store is down. Rows
+	 * read from the store take precedence.
+	 * @param rows the slot rows
+	 * @param now the current time
+	 */
+	public void adopt(List<Row> rows, long now) {
+		if (!this.scanned) {
+			rows.forEach((row) -> this.slots.observe(row, now));
+			this.registered.setNamed(this.slots.named());
+		}
+	}
+
+	/**
+	 * Sets the partitions that must have an owner.
+	 * @param names names of the partitions
+	 */
+	public void setPartitions(Collection<String> names) {
+		this.partitions.setNames(names);
+	}
+
+	/**
+	 * Sets the configuration version in force at this VM.
+	 * @param version the version
+	 */
+	public void setConfigVersion(long version) {
+		this.gate.setConfigVersion(version);
+	}
+
+	/**
+	 * Sets the state of this VM; {@code LEAVING} releases its partitions and
+	 * {@code RELEASED} its slot.
+	 * @param state the state
+	 */
+	public void setState(VmState state) {
+		this.lease.setState(state);
+	}
+
+	/**
+	 * Returns whether the slot was released.
+	 * @return whether nothing remains to be released
+	 */
+	public boolean isReleased() {
+		return this.lease.isReleased();
+	}
+
+	/**
+	 * Returns whether this VM may serve.
+	 * @param now the current time
+	 * @return whether it may
+	 */
+	public boolean serving(long now) {
+		return this.gate.serving(now);
+	}
+
+	/**
+	 * Returns the slot of this VM.
+	 * @param now the current time
+	 * @return the slot, or {@code null} if none is held
+	 */
+	public @Nullable SlotRecord held(long now) {
+		return this.lease.check(now, this.gate.outage(now)) ? this.lease.held() : null;
+	}
+
+	/**
+	 * Returns the fencing token of a partition of this VM.
+	 * @param partition name of the partition
+	 * @param now the current time
+	 * @return the token, or 0 if this VM does not own the partition or may not serve
+	 */
+	public long tokenOf(String partition, long now) {
+		return serving(now) ? this.partitions.tokenOf(partition, held(now)) : 0;
+	}
+
+	/**
+	 * Returns the partitions of this VM.
+	 * @param now the current time
+	 * @return fencing token of each partition
+	 */
+	public Map<String, Long> owned(long now) {
+		return this.partitions.owned(serving(now) ? held(now) : null);
+	}
+
+	/**
+	 * Returns the owner of a partition as last observed.
+	 * @param partition name of the partition
+	 * @return slot of the owner, or {@code null} if none is known
+	 */
+	public @Nullable SlotRecord ownerOf(String partition) {
+		return this.partitions.ownerOf(partition, this.slots);
+	}
+
+	/**
+	 * Returns the slot rows as last observed.
+	 * @return the slots
+	 */
+	public Collection<ObservedSlot> slots() {
+		return this.slots.all();
+	}
+
+	/**
+	 * Returns the VMs that count for majorities.
+	 * @return the VMs
+	 */
+	public Collection<VmId> registered() {
+		return this.registered.all();
+	}
+
+	/**
+	 * Returns the recent heartbeats of other VMs.
+	 * @param now the current time
+	 * @return the reports
+	 */
+	public List<PeerReport> reports(long now) {
+		return this.peers.recent(now);
+	}
+
+	/**
+	 * Returns the row {@code config/head} as last read.
+	 * @return the row, or {@code null}
+	 */
+	public @Nullable Row head() {
+		return this.head;
+	}
+
+	/**
+	 * Returns the time since the last store contact.
+	 * @param now the current time
+	 * @return the time in milliseconds, an hour if there was none
+	 */
+	public long storeAgeMillis(long now) {
+		return this.gate.storeAgeMillis(now);
+	}
+
+	/**
+	 * Part of the coordinator that asked for the store call in progress.
+	 */
+	private enum Issuer {
+
+		NONE, LEASE, PARTITIONS, SLOT_SCAN, PARTITION_SCAN, POLL
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/membership/PeerTable.java
@@ -0,0 +1,126 @@
+package org.banyanstile.core.membership;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.banyanstile.core.common.VmId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Latest heartbeat of each other VM. Not safe for use by several threads.
+ * <p>
+ * A VM that resumes after a pause finds old heartbeats in its socket buffers, so the time
+ * of receipt alone does not show that a heartbeat is recent. Each heartbeat therefore
+ * echoes a sequence number of the receiver, and counts as sent no later than that.
+ *
+ * @author banyanstile contributors
+ */
+public final class PeerTable {
+
+	/**
+	 * Longest time since receipt for which a heartbeat is evidence.
+	 */
+	public static final long RECEIPT_NANOS = 2_000_000_000L;
+
+	/**
+	 * Longest time since the echoed round was sent. Two heartbeat periods pass in normal
+	 * operation before a newer echo arrives; half a second is margin for jitter.
+	 */
+	public static final long ECHO_NANOS = 2_500_000_000L;
+
+	private static final int REMEMBERED_ROUNDS = 16;
+
+	private final Map<VmId, PeerReport> reports = new LinkedHashMap<>();
+
+	private final Map<VmId, Long> sequences = new LinkedHashMap<>();
+
+	private final long[] sentAt = new long[REMEMBERED_ROUNDS];
+
+	private final long first;
+
+	private long next;
+
+	private PeerTable(long first) {
+		this.first = first;
+		this.next = first;
+	}
+
+	/**
+	 * Creates an empty table.
+	 * @param firstSequence first sequence number, random so that echoes of an earlier
+	 * process of this VM are not taken for new ones
+	 * @return the table
+	 */
+	public static PeerTable create(long firstSequence) {
+		return new PeerTable(Math.max(1, firstSequence));
+	}
+
+	/**
+	 * Begins a round of heartbeats.
+	 * @param now the time before the heartbeats are sent
+	 * @return sequence number of the round
+	 */
+	public long beginRound(long now) {
+		this.sentAt[(int) (this.next % REMEMBERED_ROUNDS)] = now;
+		return this.next++;
+	}
+
+	/**
+	 * Returns the echo for a heartbeat to a VM.
+	 * @param receiver the VM
+	 * @return latest sequence number received from it, 0 if none
+	 */
+	public long echoFor(VmId receiver) {
+		return this.sequences.getOrDefault(receiver, 0L);
+	}
+
+	/**
+	 * Records a heartbeat.
+	 * @param heartbeat the heartbeat
+	 * @param now time of receipt
+	 */
+	public void receive(Heartbeat heartbeat, long now) {
+		this.sequences.put(heartbeat.vm(), heartbeat.sequence());
+		long echo = heartbeat.echo();
+		if (echo < this.first || echo >= this.next || echo < this.next - REMEMBERED_ROUNDS) {
+			return;
+		}
+		long notBefore = this.sentAt[(int) (echo % REMEMBERED_ROUNDS)];
+		PeerReport current = this.reports.get(heartbeat.vm());
+		if (current == null || notBefore - current.notBefore() >= 0) {
+			this.reports.put(heartbeat.vm(), new PeerReport(heartbeat, now, notBefore));
+		}
+	}
+
+	/**
+	 * Returns the report of a VM if it is recent.
+	 * @param vm the VM
+	 * @param now the current time
+	 * @return the report, or {@code null}
+	 */
+	public @Nullable PeerReport recent(VmId vm, long now) {
+		PeerReport report = this.reports.get(vm);
+		return (report != null && report.isRecent(now)) ? report : null;
+	}
+
+	/**
+	 * Returns all recent reports.
+	 * @param now the current time
+	 * @return the reports
+	 */
+	public List<PeerReport> recent(long now) {
+		return this.reports.values().stream().filter((report) -> report.isRecent(now)).toList();
+	}
+
+	/**
+	 * Forgets VMs that are no longer known.
+	 * @param known the VMs to retain
+	 */
+	public void retain(Collection<VmId> known) {
+		this.reports.keySet().retainAll(known);
+		this.sequences.keySet().retainAll(known);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/membership/VmState.java
@@ -0,0 +1,25 @@
+package org.banyanstile.core.membership;
+
+/**
+ * State of a VM in its slot row and its heartbeats.
+ *
+ * @author banyanstile contributors
+ */
+public enum VmState {
+
+	/**
+	 * The VM accepts new work.
+	 */
+	LIVE,
+
+	/**
+	 * The VM shuts down gracefully and accepts no ownership.
+	 */
+	LEAVING,
+
+	/**
+	 * The slot was released. Its row is retained because its epoch must never repeat.
+	 */
+	RELEASED
+
+}
