--- /dev/null
+++ b/emulator/src/main/java/org/banyanstile/emulator/engine/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Stand-in for a language-model engine.
+ */
+@NullMarked
+package org.banyanstile.emulator.engine;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/emulator/src/main/java/org/banyanstile/emulator/load/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Load tool that verifies each answer.
+ */
+@NullMarked
+package org.banyanstile.emulator.load;
+
+import org.jspecify.annotations.NullMarked;
