--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/LocalSlotSource.java
@@ -0,0 +1,96 @@
+package org.banyanstile.server;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.banyanstile.server.caller.ConfigurationView;
+import org.banyanstile.server.caller.EndpointTarget;
+import org.banyanstile.server.caller.SlotDecision;
+import org.banyanstile.server.caller.SlotDemand;
+import org.banyanstile.server.caller.SlotOutcome;
+import org.banyanstile.server.caller.SlotSource;
+
+/**
+ * Slots that this VM manages by itself: at most the configured number for each endpoint,
+ * least loaded first. Used where a pool has no owner that can be reached.
+ *
+ * @author banyanstile contributors
+ */
+public final class LocalSlotSource implements SlotSource {
+
+	private static final long RETRY_MILLIS = 250;
+
+	private final ConfigurationView configuration;
+
+	private final Map<String, Integer> used = new HashMap<>();
+
+	private LocalSlotSource(ConfigurationView configuration) {
+		this.configuration = configuration;
+	}
+
+	/**
+	 * Creates a source.
+	 * @param configuration the configuration
+	 * @return the source
+	 */
+	public static LocalSlotSource create(ConfigurationView configuration) {
+		return new LocalSlotSource(configuration);
+	}
+
+	@Override
+	public synchronized SlotDecision acquire(SlotDemand demand) {
+		long deadline = System.nanoTime() + demand.deadlineMillis() * 1_000_000;
+		Optional<EndpointTarget> target = free(demand);
+		while (target.isEmpty()) {
+			long left = (deadline - System.nanoTime()) / 1_000_000;
+			if (left <= 0 || !await(left)) {
+				return new SlotDecision.Overloaded(RETRY_MILLIS);
+			}
+			target = free(demand);
+		}
+		this.used.merge(key(target.get()), 1, Integer::sum);
+		return new SlotDecision.Granted(demand.pool(), demand.requestId(), target.get());
+	}
+
+	private boolean await(long millis) {
+		try {
+			wait(millis);
+			return true;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+	private Optional<EndpointTarget> free(SlotDemand demand) {
+		return this.configuration.current()
+			.endpoints()
+			.stream()
+			.filter((target) -> target.active() && target.pool().equals(demand.pool())
+					&& !demand.excluded().contains(target.id()) && used(target) < target.slots())
+			.min(Comparator.comparingInt(this::used));
+	}
+
+	private int used(EndpointTarget target) {
+		return this.used.getOrDefault(key(target), 0);
+	}
+
+	private static String key(EndpointTarget target) {
+		return target.pool().role() + "/" + target.id();
+	}
+
+	@Override
+	public void renew(SlotDecision.Granted slot) {
+		// A slot of this VM ends with its release.
+	}
+
+	@Override
+	public synchronized void release(SlotDecision.Granted slot, SlotOutcome outcome) {
+		this.used.merge(key(slot.endpoint()), -1, Integer::sum);
+		notifyAll();
+	}
+
+}
