Test the whole path through one VM

Cause: the path had only been compiled. The first run showed that a stream whose engine sends no response head wrote no sign of life for 5 s and then failed (ChatTests.writesSignsOfLifeWhileTheEngineIsSilent). Ruled out: a longer client timeout, which would hide a disconnect. Change: waiting for the head of a decode response counts as silence, not as a failure; tests with a fake engine and a fake service for gap, crossed chunk, disconnect, key withdrawal, takeover, stalled transfer, once-only outcomes. Conclusion: the thin path works on one VM.

--- a/server/src/main/java/org/banyanstile/server/Daemon.java
+++ b/server/src/main/java/org/banyanstile/server/Daemon.java
@@ -105,6 +105,14 @@
 		return this.callers.port();
 	}
 
+	/**
+	 * Returns all meters as Prometheus text.
+	 * @return the text
+	 */
+	public String metrics() {
+		return this.registry.scrape();
+	}
+
 	/**
 	 * Shuts down without cutting off a request: this VM leaves the list of VMs, serves
 	 * for as long as callers may hold a cached list, and waits for running requests.
--- a/server/src/main/java/org/banyanstile/server/endpoint/AnswerStream.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/AnswerStream.java
@@ -46,7 +46,7 @@
 
 	private int resumes;
 
-	private long lastEvent;
+	private long lastEvent = System.nanoTime();
 
 	private boolean opened;
 
@@ -69,7 +69,7 @@
 	 */
 	public DecodeEvent next(Duration wait) throws EndpointException {
 		try {
-			DecodeEvent event = read(connect(), wait);
+			DecodeEvent event = read(connect(wait), wait);
 			if (!(event instanceof DecodeEvent.Silent)) {
 				this.failures = 0;
 			}
@@ -84,7 +84,7 @@
 		}
 		catch (EndpointUnreachableException | EndpointBrokenException ex) {
 			close();
-			return failed(ex);
+			return isOnlySilent(ex) ? new DecodeEvent.Silent() : failed(ex);
 		}
 	}
 
@@ -98,6 +98,7 @@
 	private DecodeEvent failed(EndpointException ex) throws EndpointException {
 		this.failures++;
 		this.resumes++;
+		this.lastEvent = System.nanoTime();
 		if (this.failures >= MAX_FAILURES || Thread.currentThread().isInterrupted()) {
 			throw new StreamLostException("engine stays unreachable", ex);
 		}
@@ -110,10 +111,15 @@
 		return new DecodeEvent.Silent();
 	}
 
-	private HttpResponse connect() throws EndpointException {
+	private boolean isOnlySilent(EndpointException ex) {
+		// An engine may send the head of its response together with the first token.
+		return ex.getCause() instanceof ResponseTimeoutException && System.nanoTime() - this.lastEvent < SILENCE_NANOS;
+	}
+
+	private HttpResponse connect(Duration wait) throws EndpointException {
 		HttpResponse current = this.connection;
 		if (current == null) {
-			current = this.engine.openDecode(this.address, this.requestId, this.maxTokens, this.nextOffset);
+			current = this.engine.openDecode(this.address, this.requestId, this.maxTokens, this.nextOffset, wait);
 			this.connection = current;
 			this.opened = true;
 			this.lastEvent = System.nanoTime();
@@ -132,10 +138,10 @@
 			return event(EndpointJson.read(line));
 		}
 		catch (ResponseTimeoutException ex) {
-			if (System.nanoTime() - this.lastEvent >= SILENCE_NANOS) {
-				throw new EndpointBrokenException("engine is silent", ex);
+			if (System.nanoTime() - this.lastEvent < SILENCE_NANOS) {
+				return new DecodeEvent.Silent();
 			}
-			return new DecodeEvent.Silent();
+			throw new EndpointBrokenException("engine is silent", ex);
 		}
 		catch (HttpException ex) {
 			throw EngineClient.failure(ex);
--- a/server/src/main/java/org/banyanstile/server/endpoint/EngineClient.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/EngineClient.java
@@ -132,14 +132,17 @@
 	 * @param requestId identifier of the request
 	 * @param maxTokens longest answer
 	 * @param fromOffset offset of the first token to send
+	 * @param wait longest wait for the connection, and again for the response head
 	 * @return the connection, which the caller must close
 	 * @throws EndpointException if the engine refused or cannot be reached
 	 */
-	HttpResponse openDecode(String address, String requestId, int maxTokens, long fromOffset) throws EndpointException {
+	HttpResponse openDecode(String address, String requestId, int maxTokens, long fromOffset, Duration wait)
+			throws EndpointException {
 		Map<String, Object> body = members(requestId);
 		body.put("maxTokens", maxTokens);
 		body.put("fromOffset", fromOffset);
 		HttpRequest request = HttpRequest.postJson(address, "/engine/v1/decode", EndpointJson.write(body))
+			.withTimeout(wait)
 			.withFreshConnection();
 		try {
 			HttpResponse response = this.http.send(request);
--- /dev/null
+++ b/server/src/test/java/org/banyanstile/server/ServiceTests.java
@@ -0,0 +1,153 @@
+package org.banyanstile.server;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.BlockingHandler;
+import org.banyanstile.io.http.HttpRequest;
+import org.banyanstile.io.http.HttpResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+/**
+ * Tests for calls of plain services through a whole VM.
+ *
+ * @author banyanstile contributors
+ */
+class ServiceTests {
+
+	private final Queue<String> received = new ConcurrentLinkedQueue<>();
+
+	private volatile HttpHandler behaviour = (exchange) -> exchange.setStatusCode(201);
+
+	private final Undertow service = Undertow.builder()
+		.addHttpListener(0, "127.0.0.1", new BlockingHandler(this::handle))
+		.build();
+
+	private TestVm vm;
+
+	@BeforeEach
+	void start() {
+		this.service.start();
+		this.vm = new TestVm(TestVm.service("s-1", address()));
+	}
+
+	@AfterEach
+	void close() {
+		this.vm.close();
+		this.service.stop();
+	}
+
+	private String address() {
+		return "127.0.0.1:" + ((InetSocketAddress) this.service.getListenerInfo().get(0).getAddress()).getPort();
+	}
+
+	private void handle(HttpServerExchange exchange) throws Exception {
+		String body = new String(exchange.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+		this.received
+			.add(exchange.getRequestURI() + "?" + exchange.getQueryString() + exchange.getRequestHeaders() + body);
+		this.behaviour.handleRequest(exchange);
+	}
+
+	private HttpRequest order(String key) {
+		return HttpRequest.postJson(this.vm.address(), "/v1/services/orders/orders", "{\"panel\":1}")
+			.withHeader("Authorization", "Bearer " + TestVm.KEY.text())
+			.withHeader("Idempotency-Key", key);
+	}
+
+	@Test
+	void runsAnOrderOnceAndRepeatsItsAnswer() throws Exception {
+		for (int i = 0; i < 3; i++) {
+			assertThat(this.vm.send(order("a")).status(), is(201));
+		}
+		assertThat(this.received, hasSize(1));
+		HttpRequest other = HttpRequest.postJson(this.vm.address(), "/v1/services/orders/orders", "{\"panel\":2}")
+			.withHeader("Authorization", "Bearer " + TestVm.KEY.text())
+			.withHeader("Idempotency-Key", "a");
+		assertThat(this.vm.send(other).status(), is(422));
+	}
+
+	@Test
+	void requiresAnIdempotencyKeyForAnOrder() throws Exception {
+		HttpRequest request = HttpRequest.postJson(this.vm.address(), "/v1/services/orders/orders", "{}")
+			.withHeader("Authorization", "Bearer " + TestVm.KEY.text());
+		assertThat(this.vm.send(request).status(), is(400));
+	}
+
+	/**
+	 * Guards against a "not run" refusal of an order that may have run, and against a
+	 * second run after it.
+	 */
+	@Test
+	void reportsAnUnknownOutcomeWhenTheConnectionBreaks() throws Exception {
+		this.behaviour = (exchange) -> exchange.getConnection().close();
+		for (int i = 0; i < 2; i++) {
+			HttpResponse response = this.vm.send(order("b"));
+			assertThat(response.status(), is(504));
+			assertThat(response.text(1000), containsString("\"run\":\"unknown\""));
+		}
+		assertThat(this.received, hasSize(1));
+	}
+
+	@Test
+	void reportsNotRunWhenTheConnectionIsRefused() throws Exception {
+		this.service.stop();
+		HttpResponse response = this.vm.send(order("c"));
+		assertThat(response.status(), is(503));
+		assertThat(response.text(1000), containsString("\"run\":\"not_run\""));
+	}
+
+	@Test
+	void passesTheStatusOfARefusalOn() throws Exception {
+		this.behaviour = (exchange) -> exchange.setStatusCode(409);
+		HttpResponse response = this.vm.send(order("d"));
+		assertThat(response.status(), is(409));
+		assertThat(response.text(1000), containsString("\"run\":\"refused_by_endpoint\""));
+	}
+
+	@Test
+	void retriesALookup() throws Exception {
+		AtomicInteger calls = new AtomicInteger();
+		this.vm.close();
+		this.vm = new TestVm(TestVm.service("s-1", "127.0.0.1:1"), TestVm.service("s-2", address()));
+		this.behaviour = (exchange) -> calls.incrementAndGet();
+		for (int i = 0; i < 4; i++) {
+			assertThat(this.vm.send(lookup("")).status(), is(200));
+		}
+		assertThat(calls.get(), is(4));
+	}
+
+	/**
+	 * Guards against an endpoint that sees a caller's key in a header or the query.
+	 */
+	@Test
+	void serviceNeverSeesTheKey() throws Exception {
+		this.vm.send(lookup("?item=1&k=" + TestVm.KEY.text() + "&s=" + TestVm.KEY.secret())
+			.withHeader("Accept-Language", TestVm.KEY.text())).close();
+		this.vm.send(order("e")).close();
+		assertThat(this.received, hasSize(2));
+		assertThat(this.received, everyItem(not(containsString(TestVm.KEY.secret()))));
+		assertThat(this.received, everyItem(not(containsString("Bearer"))));
+		assertThat(this.received.peek(), containsString("?item=1{"));
+	}
+
+	private HttpRequest lookup(String query) {
+		return HttpRequest.get(this.vm.address(), "/v1/services/orders/stock" + query)
+			.withHeader("Authorization", "Bearer " + TestVm.KEY.text());
+	}
+
+}
