--- a/core/src/main/java/org/banyanstile/core/lease/PartitionTable.java
+++ b/core/src/main/java/org/banyanstile/core/lease/PartitionTable.java
@@ -1,5 +1,6 @@
 package org.banyanstile.core.lease;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -185,15 +186,31 @@
 		}
 		Condition unchanged = new Condition(key, observed.version());
 		PartitionRecord taken = new PartitionRecord(name, held.slot(), held.epoch(), row.fencingToken() + 1);
-		ObservedSlot owner = slots.get(row.slot());
-		if (owner == null || !owner.record().isHeld() || !row.isOwnedBy(owner.record()) || row.isOwnedBy(held)) {
-			return write(taken, List.of(unchanged), slots, now);
-		}
-		if (!owner.isExpired(now)) {
-			return null;
+		List<Condition> conditions = new ArrayList<>(List.of(unchanged));
+		if (row.slot() != PartitionRecord.NO_SLOT && !row.isOwnedBy(held)) {
+			ObservedSlot owner = slots.get(row.slot());
+			if (owner == null) {
+				conditions.add(Condition.absent(SlotRecord.key(row.slot())));
+			}
+			else if (!hasEnded(row, owner.record())) {
+				if (!owner.isExpired(now)) {
+					return null;
+				}
+				conditions.add(new Condition(SlotRecord.key(row.slot()), owner.version()));
+			}
 		}
-		Condition expired = new Condition(SlotRecord.key(row.slot()), owner.version());
-		return write(taken, List.of(unchanged, expired), slots, now);
+		return write(taken, conditions, slots, now);
+	}
+
+	/**
+	 * Returns whether the epoch in a partition row has ended for good. A slot row with a
+	 * lower epoch was read before the owner acquired the slot and shows nothing.
+	 * @param row the partition row
+	 * @param owner the slot row as observed
+	 * @return whether the epoch has ended
+	 */
+	private static boolean hasEnded(PartitionRecord row, SlotRecord owner) {
+		return owner.epoch() > row.epoch() || (owner.epoch() == row.epoch() && !owner.isHeld());
 	}
 
 	private StoreStep write(PartitionRecord row, List<Condition> conditions, SlotTable slots, long now) {
--- /dev/null
+++ b/core/src/test/java/org/banyanstile/core/lease/FleetTests.java
@@ -0,0 +1,201 @@
+package org.banyanstile.core.lease;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.notNullValue;
+
+/**
+ * Tests of a fleet of {@link VmCoordinator} in virtual time. The fleet checks in each
+ * step that no two serving VMs hold a slot or partition.
+ *
+ * @author banyanstile contributors
+ */
+class FleetTests {
+
+	private final VirtualFleet fleet = new VirtualFleet(1);
+
+	private void start(int n) {
+		for (int i = 0; i < n; i++) {
+			this.fleet.start("vm-" + i);
+		}
+		this.fleet.run(30);
+		assertAllOwned();
+	}
+
+	private void assertAllOwned() {
+		VirtualFleet.PARTITIONS.forEach((partition) -> assertThat(this.fleet.ownerOf(partition), notNullValue()));
+	}
+
+	private Map<String, String> owners() {
+		Map<String, String> owners = new HashMap<>();
+		VirtualFleet.PARTITIONS.forEach((partition) -> owners.put(partition, this.fleet.ownerOf(partition)));
+		return owners;
+	}
+
+	private long tokens() {
+		return this.fleet.nodes.values()
+			.stream()
+			.flatMap((node) -> node.vm.owned(node.clock()).values().stream())
+			.mapToLong(Long::longValue)
+			.sum();
+	}
+
+	@Test
+	void singleVmIsItsOwnMajority() {
+		start(1);
+		this.fleet.storeDown = true;
+		this.fleet.run(600);
+		assertThat(this.fleet.serving(), is(1L));
+		assertAllOwned();
+	}
+
+	@Test
+	void failedOwnerIsReplacedWithAHigherToken() {
+		start(3);
+		String owner = this.fleet.ownerOf("team/0");
+		long before = this.fleet.nodes.get(owner).vm.tokenOf("team/0", this.fleet.nodes.get(owner).clock());
+		this.fleet.kill(owner);
+		this.fleet.run(30);
+		String taker = this.fleet.ownerOf("team/0");
+		assertThat(taker, not(equalTo(owner)));
+		assertThat(this.fleet.nodes.get(taker).vm.tokenOf("team/0", this.fleet.nodes.get(taker).clock()),
+				greaterThan(before));
+		this.fleet.start(owner);
+		this.fleet.run(30);
+		assertThat("returned to the preferred owner", this.fleet.ownerOf("team/0"), equalTo(owner));
+	}
+
+	@Test
+	void isolatedVmStopsWithinFourSecondsWhileTheOthersServe() {
+		start(3);
+		VirtualFleet.Node node = this.fleet.nodes.get("vm-1");
+		node.cutFromStore = true;
+		node.cutFromPeers = true;
+		this.fleet.run(4);
+		assertThat(node.serving(), is(false));
+		assertThat(this.fleet.serving(), is(2L));
+		this.fleet.run(30);
+		assertAllOwned();
+		node.cutFromStore = false;
+		node.cutFromPeers = false;
+		this.fleet.run(40);
+		assertThat(this.fleet.serving(), is(3L));
+	}
+
+	@Test
+	void vmCutFromTheStoreAloneStopsAlthoughItHearsTheOthers() {
+		start(3);
+		this.fleet.nodes.get("vm-1").cutFromStore = true;
+		this.fleet.run(4);
+		assertThat(this.fleet.nodes.get("vm-1").serving(), is(false));
+	}
+
+	@Test
+	void outageOfAnHourStopsNoVmAndMovesNothingWhileVmsFailAndStart() {
+		start(4);
+		Map<String, String> owners = owners();
+		long tokens = tokens();
+		this.fleet.storeDown = true;
+		for (int second = 0; second < 3600; second++) {
+			this.fleet.run(1);
+			assertThat(this.fleet.serving(), is((long) this.fleet.nodes.size()));
+			if (second == 600) {
+				this.fleet.kill("vm-0");
+				owners.values().remove("vm-0");
+			}
+			if (second == 1200) {
+				VirtualFleet.Node late = this.fleet.start("vm-9");
+				late.vm.adopt(this.fleet.store.withPrefix(SlotRecord.PREFIX), late.clock());
+				this.fleet.run(4);
+			}
+		}
+		owners.values().removeIf((owner) -> owner == null);
+		Map<String, String> kept = owners();
+		owners.forEach((partition, owner) -> assertThat(kept.get(partition), equalTo(owner)));
+		this.fleet.storeDown = false;
+		this.fleet.run(3);
+		owners.forEach((partition, owner) -> assertThat(this.fleet.ownerOf(partition), equalTo(owner)));
+		assertThat("an owner kept by the outage rule was not displaced", tokens() <= tokens, is(true));
+		this.fleet.run(40);
+		assertThat(this.fleet.serving(), is(4L));
+		assertAllOwned();
+	}
+
+	@Test
+	void ownerKeptByTheOutageRuleIsNeverDisplacedWhenTheStoreReturns() {
+		start(3);
+		Map<String, String> owners = owners();
+		long tokens = tokens();
+		for (int i = 0; i < 10; i++) {
+			this.fleet.storeDown = true;
+			this.fleet.run(20 + i);
+			this.fleet.storeDown = false;
+			this.fleet.run(15);
+			assertThat(owners(), equalTo(owners));
+			assertThat(tokens(), equalTo(tokens));
+		}
+	}
+
+	@Test
+	void higherConfigurationVersionAtAPeerClosesTheGateDuringAnOutage() {
+		start(3);
+		this.fleet.nodes.get("vm-0").vm.setConfigVersion(2);
+		this.fleet.storeDown = true;
+		this.fleet.run(6);
+		assertThat(this.fleet.nodes.get("vm-0").serving(), is(true));
+		assertThat(this.fleet.nodes.get("vm-1").serving(), is(false));
+	}
+
+	@Test
+	void fleetRestartsUnderTheSameNames() {
+		start(3);
+		for (int i = 0; i < 3; i++) {
+			this.fleet.kill("vm-" + i);
+		}
+		start(3);
+	}
+
+	@Test
+	void fleetIsReplacedUnderNewNames() {
+		start(3);
+		for (int i = 0; i < 3; i++) {
+			this.fleet.kill("vm-" + i);
+			this.fleet.start("new-" + i);
+		}
+		this.fleet.run(20);
+		assertThat("the old VMs still count", this.fleet.ownerOf("team/0"), equalTo(null));
+		this.fleet.run(90);
+		assertAllOwned();
+	}
+
+	@Test
+	void storeDownAtExpiryOfAFailedVmDelaysTheTakeover() {
+		start(3);
+		this.fleet.kill(this.fleet.ownerOf("team/0"));
+		this.fleet.run(10);
+		this.fleet.storeDown = true;
+		this.fleet.run(30);
+		assertThat(this.fleet.ownerOf("team/0"), equalTo(null));
+		this.fleet.storeDown = false;
+		this.fleet.run(25);
+		assertAllOwned();
+	}
+
+	@Test
+	void slowStoreLosesNoOwner() {
+		start(3);
+		long tokens = tokens();
+		this.fleet.storeDelay = VirtualFleet.SECOND * 9 / 10;
+		this.fleet.run(120);
+		assertThat(tokens(), equalTo(tokens));
+	}
+
+}
