--- a/emulator/src/main/java/org/banyanstile/emulator/quickstart/package-info.java
+++ b/emulator/src/main/java/org/banyanstile/emulator/quickstart/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Driver that starts a small deployment as separate processes.
+ * Driver of the quickstart.
  */
 @NullMarked
 package org.banyanstile.emulator.quickstart;
