--- a/core/src/test/java/org/banyanstile/core/lease/FleetTests.java
+++ b/core/src/test/java/org/banyanstile/core/lease/FleetTests.java
@@ -24,7 +24,9 @@
 
 	private void start(int n) {
 		for (int i = 0; i < n; i++) {
-			this.fleet.start("vm-" + i);
+			if (!this.fleet.nodes.containsKey("vm-" + i)) {
+				this.fleet.start("vm-" + i);
+			}
 		}
 		this.fleet.run(30);
 		assertAllOwned();
@@ -144,6 +146,21 @@
 		}
 	}
 
+	@Test
+	void ownerThatTheStoreReturnsForLastStopsBeforeItIsReplaced() {
+		for (int i = 0; i < 10; i++) {
+			start(3);
+			VirtualFleet.Node owner = this.fleet.nodes.get(this.fleet.ownerOf("team/0"));
+			this.fleet.storeDown = true;
+			this.fleet.run(20 + i);
+			owner.cutFromStore = true;
+			this.fleet.storeDown = false;
+			this.fleet.run(30);
+			assertAllOwned();
+			owner.cutFromStore = false;
+		}
+	}
+
 	@Test
 	void higherConfigurationVersionAtAPeerClosesTheGateDuringAnOutage() {
 		start(3);
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/vm/Addresses.java
@@ -0,0 +1,23 @@
+package org.banyanstile.server.vm;
+
+import java.net.InetSocketAddress;
+
+/**
+ * Addresses in the form {@code ip:port}.
+ *
+ * @author banyanstile contributors
+ */
+final class Addresses {
+
+	private Addresses() {
+	}
+
+	static InetSocketAddress parse(String address) {
+		int colon = address.lastIndexOf(':');
+		if (colon <= 0) {
+			throw new IllegalArgumentException("address '" + address + "' is not of the form ip:port");
+		}
+		return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/vm/SlotRequest.java
@@ -0,0 +1,32 @@
+package org.banyanstile.server.vm;
+
+import java.util.List;
+
+/**
+ * Request to the owner of a pool for a decode slot.
+ *
+ * @param pool name of the partition
+ * @param team name of the team
+ * @param cost prompt plus expected output in tokens
+ * @param requestId identifier of the request
+ * @param deadlineMillis longest wait for a slot
+ * @param excluded names of endpoints that must not be chosen
+ * @author banyanstile contributors
+ */
+public record SlotRequest(String pool, String team, long cost, String requestId, long deadlineMillis,
+		List<String> excluded) {
+
+	/**
+	 * Copies the list.
+	 * @param pool name of the partition
+	 * @param team name of the team
+	 * @param cost prompt plus expected output in tokens
+	 * @param requestId identifier of the request
+	 * @param deadlineMillis longest wait for a slot
+	 * @param excluded names of endpoints that must not be chosen
+	 */
+	public SlotRequest {
+		excluded = List.copyOf(excluded);
+	}
+
+}
