Add the fleet-wide directory of running requests

Cause: a repeat that reaches another VM must take the stream over instead of running it again. Ruled out: asking all VMs, whose cost grows with the fleet. Change: the owner of request/<k> records which VM serves a request; a lookup makes the asking VM the one that serves it; stream messages carry the body hash.

--- a/server/src/main/java/org/banyanstile/server/vm/StreamAnnounce.java
+++ b/server/src/main/java/org/banyanstile/server/vm/StreamAnnounce.java
@@ -1,14 +1,15 @@
 package org.banyanstile.server.vm;
 
 /**
- * Announcement of a running stream to the owner of its request partition.
+ * Announcement to the owner of a request partition of where a request runs.
  *
  * @param team name of the team
  * @param keyHash SHA-256 of the idempotency key, in hexadecimal
- * @param requestId identifier of the request
+ * @param requestId identifier at the engine
  * @param endpoint name of the endpoint
+ * @param bodyHash SHA-256 of the body, in hexadecimal
  * @author banyanstile contributors
  */
-public record StreamAnnounce(String team, String keyHash, String requestId, String endpoint) {
+public record StreamAnnounce(String team, String keyHash, String requestId, String endpoint, String bodyHash) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/vm/StreamTakeover.java
+++ b/server/src/main/java/org/banyanstile/server/vm/StreamTakeover.java
@@ -1,11 +1,13 @@
 package org.banyanstile.server.vm;
 
 /**
- * Notice to the serving VM that another VM continues its stream.
+ * Request to the serving VM to end its connection to the caller, because another VM
+ * continues the stream.
  *
- * @param requestId identifier of the request
+ * @param team name of the team
+ * @param keyHash SHA-256 of the idempotency key, in hexadecimal
  * @author banyanstile contributors
  */
-public record StreamTakeover(String requestId) {
+public record StreamTakeover(String team, String keyHash) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/vm/VmMessages.java
+++ b/server/src/main/java/org/banyanstile/server/vm/VmMessages.java
@@ -16,8 +16,8 @@
 	private static final List<Class<? extends Record>> TYPES = List.of(Hello.class, HelloProof.class, Failure.class,
 			Acknowledged.class, Heartbeat.class, ConfigPush.class, ConfigFetch.class, GrantRequest.class,
 			GrantReply.class, SlotRequest.class, SlotReply.class, SlotRelease.class, StreamAnnounce.class,
-			StreamLookup.class, StreamFound.class, StreamTakeover.class, ClaimQuery.class, ClaimReply.class,
-			CrashVerdict.class, SlotRowsFetch.class, SlotRows.class);
+			StreamLookup.class, StreamFound.class, StreamTakeover.class, StreamWithdraw.class, ClaimQuery.class,
+			ClaimReply.class, CrashVerdict.class, SlotRowsFetch.class, SlotRows.class);
 
 	private VmMessages() {
 	}
