Add the operator binary and the messages of the operator interface

Keys and tokens as arguments; each user of the machine could read them. Change: banyanstile config check|diff|apply|show|status, key create|hash, status and burn, one class each. After a lost reply "apply" reads the new version back, and sends the request again only when the replaced version is still current. The burn report adds up the counters of several VMs, as text, JSON or one HTML file with inline SVG.

--- /dev/null
+++ b/config/src/main/java/org/banyanstile/config/api/OperatorError.java
@@ -0,0 +1,13 @@
+package org.banyanstile.config.api;
+
+/**
+ * Error of the operator interface that is not the outcome of a change.
+ *
+ * @param type one of {@code unauthorized}, {@code invalid_request}, {@code not_found},
+ * {@code unavailable}
+ * @param message explanation for people
+ * @author banyanstile contributors
+ */
+public record OperatorError(String type, String message) {
+
+}
--- /dev/null
+++ b/tools/src/main/java/org/banyanstile/tools/CommandGroup.java
@@ -0,0 +1,13 @@
+package org.banyanstile.tools;
+
+import com.beust.jcommander.Parameters;
+
+/**
+ * First word of a command of two words.
+ *
+ * @author banyanstile contributors
+ */
+@Parameters(commandDescription = "group of commands; see its --help")
+final class CommandGroup extends CommonOptions {
+
+}
--- /dev/null
+++ b/tools/src/main/java/org/banyanstile/tools/burn/BurnPage.java
@@ -0,0 +1,119 @@
+package org.banyanstile.tools.burn;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Locale;
+
+import org.banyanstile.config.api.BurnCause;
+import org.banyanstile.config.api.BurnWindow;
+
+/**
+ * HTML form of the report, one file without references to others.
+ *
+ * @author banyanstile contributors
+ */
+public final class BurnPage {
+
+	/**
+	 * Groups per table. A fleet can have thousands of teams; the JSON output has them
+	 * all.
+	 */
+	private static final int MAX_LINES = 50;
+
+	private static final String STYLE = """
+			body{font:14px system-ui,sans-serif;margin:2em;max-width:75em;color:#222;background:#fff}
+			table{border-collapse:collapse;margin:0 0 2em}
+			th,td{padding:.3em .9em .3em 0;text-align:left;border-bottom:1px solid #ddd;vertical-align:middle}
+			td.n,th.n{text-align:right}
+			tr.over td.n.rate{font-weight:bold}
+			svg{background:#f5f5f5}
+			line.one{stroke:#222;stroke-width:1;stroke-dasharray:3 3}
+			.key{display:inline-block;width:.8em;height:.8em;margin-right:.4em}
+			""";
+
+	private final StringBuilder html = new StringBuilder();
+
+	private final BurnSummary summary;
+
+	private BurnPage(BurnSummary summary) {
+		this.summary = summary;
+	}
+
+	/**
+	 * Renders the report.
+	 * @param summary the counts
+	 * @param missing why each VM that did not answer is not included
+	 * @return the HTML text
+	 */
+	public static String render(BurnSummary summary, List<String> missing) {
+		BurnPage page = new BurnPage(summary);
+		page.addHead(missing);
+		for (BurnWindow window : BurnWindow.values()) {
+			page.addWindow(window);
+		}
+		return page.html.append("</body></html>\n").toString();
+	}
+
+	private void addHead(List<String> missing) {
+		this.html.append("<!DOCTYPE html><html lang=\"en\"><head><meta charset=\"utf-8\">")
+			.append("<title>Use of error budget</title><style>")
+			.append(STYLE);
+		for (BurnCause cause : BurnCause.values()) {
+			String colour = BurnStyle.colour(cause);
+			this.html.append(String.format(".%s{fill:%s;background:%s}%n", BurnStyle.cssClass(cause), colour, colour));
+		}
+		this.html.append("</style></head><body><h1>Use of error budget</h1><p>")
+			.append(Instant.ofEpochMilli(this.summary.atMillis()))
+			.append(", counts of ")
+			.append(escape(String.join(", ", this.summary.vms())))
+			.append(". A burn rate of 1 uses the budget up exactly.</p>");
+		missing.forEach((message) -> this.html.append("<p>Not included: ").append(escape(message)).append("</p>"));
+		addLegend();
+	}
+
+	private void addLegend() {
+		this.html.append("<ul>");
+		for (BurnCause cause : BurnCause.values()) {
+			this.html.append(
+					String.format(Locale.ROOT, "<li><span class=\"key %s\"></span>%s, budget %.2f%% of requests</li>",
+							BurnStyle.cssClass(cause), cause.label(), cause.budget() * 100));
+		}
+		this.html.append("</ul>");
+	}
+
+	private void addWindow(BurnWindow window) {
+		this.html.append("<h2>Last ").append(window.label()).append("</h2>");
+		for (BurnDimension dimension : BurnDimension.values()) {
+			addTable(dimension, this.summary.lines(window, dimension));
+		}
+	}
+
+	private void addTable(BurnDimension dimension, List<BurnLine> lines) {
+		this.html.append("<table><tr><th>")
+			.append(dimension.label())
+			.append("</th><th class=\"n\">Requests</th><th class=\"n\">Burn rate</th><th>Over time</th>")
+			.append("<th>Used up by</th></tr>");
+		lines.stream().limit(MAX_LINES).forEach(this::addRow);
+		this.html.append("</table>");
+		if (lines.size() > MAX_LINES) {
+			this.html.append("<p>").append(lines.size() - MAX_LINES).append(" more with lower burn rates.</p>");
+		}
+	}
+
+	private void addRow(BurnLine line) {
+		this.html.append((line.burnRate() > 1) ? "<tr class=\"over\"><td>" : "<tr><td>")
+			.append(escape(line.name()))
+			.append("</td><td class=\"n\">")
+			.append(line.requests())
+			.append(String.format(Locale.ROOT, "</td><td class=\"n rate\">%.2f</td><td>", line.burnRate()))
+			.append(BurnPlot.render(line, this.summary.atMillis()))
+			.append("</td><td>")
+			.append(escape(BurnTable.causes(line)))
+			.append("</td></tr>");
+	}
+
+	private static String escape(String text) {
+		return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+	}
+
+}
--- /dev/null
+++ b/tools/src/main/java/org/banyanstile/tools/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The operator binary, one class per command.
+ */
+@NullMarked
+package org.banyanstile.tools;
+
+import org.jspecify.annotations.NullMarked;
