--- a/server/src/main/java/org/banyanstile/server/vm/VmMessages.java
+++ b/server/src/main/java/org/banyanstile/server/vm/VmMessages.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 
+import org.banyanstile.core.common.TeamId;
 import org.banyanstile.core.common.VmId;
+import org.banyanstile.core.limit.GrantReply;
+import org.banyanstile.core.limit.GrantRequest;
 import org.banyanstile.core.membership.Heartbeat;
 import org.banyanstile.io.frame.MessageCodec;
 
@@ -15,9 +18,10 @@
 
 	private static final List<Class<? extends Record>> TYPES = List.of(Hello.class, HelloProof.class, Failure.class,
 			Acknowledged.class, Heartbeat.class, ConfigPush.class, ConfigFetch.class, GrantRequest.class,
-			GrantReply.class, SlotRequest.class, SlotReply.class, SlotRelease.class, StreamAnnounce.class,
-			StreamLookup.class, StreamFound.class, StreamTakeover.class, StreamWithdraw.class, ClaimQuery.class,
-			ClaimReply.class, CrashVerdict.class, SlotRowsFetch.class, SlotRows.class);
+			GrantReply.class, FloorQuery.class, FloorPromise.class, SlotRequest.class, SlotReply.class,
+			SlotRelease.class, StreamAnnounce.class, StreamLookup.class, StreamFound.class, StreamTakeover.class,
+			StreamWithdraw.class, ClaimQuery.class, ClaimReply.class, CrashVerdict.class, SlotRowsFetch.class,
+			SlotRows.class);
 
 	private VmMessages() {
 	}
@@ -28,7 +32,10 @@
 	 * @return the codec
 	 */
 	public static MessageCodec codec() {
-		MessageCodec codec = MessageCodec.create().registerNested(VmId.class).registerNested(SlotRow.class);
+		MessageCodec codec = MessageCodec.create()
+			.registerNested(VmId.class)
+			.registerNested(TeamId.class)
+			.registerNested(SlotRow.class);
 		TYPES.forEach(codec::register);
 		return codec;
 	}
--- a/server/src/test/java/org/banyanstile/server/vm/VmPeersTests.java
+++ b/server/src/test/java/org/banyanstile/server/vm/VmPeersTests.java
@@ -11,7 +11,10 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 
+import org.banyanstile.core.common.TeamId;
 import org.banyanstile.core.common.VmId;
+import org.banyanstile.core.limit.GrantReply;
+import org.banyanstile.core.limit.GrantRequest;
 import org.banyanstile.core.membership.Heartbeat;
 import org.banyanstile.core.membership.VmState;
 import org.banyanstile.io.frame.FrameConnection;
@@ -61,7 +64,7 @@
 			this.received.add(heartbeat);
 			return null;
 		});
-		handlers.register(GrantRequest.class, (from, request) -> new GrantReply(request.tokens() / 2, 2000));
+		handlers.register(GrantRequest.class, (from, request) -> new GrantReply(request.needed() / 2, 2000, 0, 0, 1));
 		handlers.register(StreamTakeover.class, (from, request) -> {
 			try {
 				this.released.await();
@@ -88,7 +91,7 @@
 	}
 
 	private static GrantReply grant(VmPeers peers, String vm) throws VmRequestException {
-		return peers.request(VmId.of(vm), new GrantRequest("team", 100, 0), GrantReply.class, LONG);
+		return peers.request(VmId.of(vm), GrantRequest.of(TeamId.of("team"), 100, 100), GrantReply.class, LONG);
 	}
 
 	@Test
@@ -98,12 +101,12 @@
 		VmPeers b = start("vm-b", freeAddress(), KEY);
 		b.setAddresses(List.of(address));
 		await(() -> a.connected().contains(VmId.of("vm-b")) && b.connected().contains(VmId.of("vm-a")));
-		assertThat(grant(b, "vm-a"), equalTo(new GrantReply(50, 2000)));
-		assertThat(grant(a, "vm-b"), equalTo(new GrantReply(50, 2000)));
+		assertThat(grant(b, "vm-a"), equalTo(new GrantReply(50, 2000, 0, 0, 1)));
+		assertThat(grant(a, "vm-b"), equalTo(new GrantReply(50, 2000, 0, 0, 1)));
 		await(() -> this.received.stream().map(Heartbeat::vm).distinct().count() == 2);
 		assertThrows(VmUnreachableException.class, () -> grant(a, "vm-c"));
-		assertThrows(VmReplyTimeoutException.class,
-				() -> a.request(VmId.of("vm-b"), new StreamTakeover("r"), Acknowledged.class, Duration.ofMillis(50)));
+		assertThrows(VmReplyTimeoutException.class, () -> a.request(VmId.of("vm-b"), new StreamTakeover("team", "r"),
+				Acknowledged.class, Duration.ofMillis(50)));
 		assertThrows(VmRequestFailedException.class,
 				() -> a.request(VmId.of("vm-b"), new ConfigFetch(1), ConfigPush.class, LONG));
 	}
@@ -129,7 +132,7 @@
 		await(() -> b.connected().isEmpty());
 		start("vm-a", address, KEY);
 		await(() -> b.connected().contains(VmId.of("vm-a")));
-		assertThat(grant(b, "vm-a"), equalTo(new GrantReply(50, 2000)));
+		assertThat(grant(b, "vm-a"), equalTo(new GrantReply(50, 2000, 0, 0, 1)));
 	}
 
 	@Test
@@ -148,7 +151,7 @@
 			}
 		}
 		await(() -> a.counters().malformedFrames().sum() == garbage.length);
-		assertThat(grant(b, "vm-a"), equalTo(new GrantReply(50, 2000)));
+		assertThat(grant(b, "vm-a"), equalTo(new GrantReply(50, 2000, 0, 0, 1)));
 		assertThat(b.counters().brokenConnections().sum(), is(0L));
 	}
 
