--- a/server/src/main/java/org/banyanstile/server/Daemon.java
+++ b/server/src/main/java/org/banyanstile/server/Daemon.java
@@ -65,8 +65,9 @@
 		this.watch = CallWatch.start(configuration, () -> true, this.actions);
 		RequestServices services = new RequestServices(DataCentreId.of(settings.dataCentre()), configuration,
 				() -> true, LocalTeamLimiter.create(configuration, Ticker.system()),
-				LocalSlotSource.create(configuration), LocalClaimService.create(), LocalStreamDirectory.create(),
-				new RetryAllowance(), engine, ServiceClient.create(this.http), this.canceller, new RunningStreams(),
+				LocalSlotSource.create(configuration, () -> 1), LocalClaimService.create(),
+				LocalStreamDirectory.create(), new RetryAllowance(), engine, ServiceClient.create(this.http),
+				this.canceller, new RunningStreams(),
 				AnswerMemory.create(ANSWER_RETENTION, ANSWER_BYTES, Ticker.system()), this.watch,
 				RequestMetrics.create(this.registry));
 		this.callers = CallerServer.start(Addresses.parse(settings.callerAddress()), settings.workers(), services,
--- a/server/src/main/java/org/banyanstile/server/LocalSlotSource.java
+++ b/server/src/main/java/org/banyanstile/server/LocalSlotSource.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 
 import org.banyanstile.server.caller.ConfigurationView;
 import org.banyanstile.server.caller.EndpointTarget;
@@ -13,8 +14,8 @@
 import org.banyanstile.server.caller.SlotSource;
 
 /**
- * Slots that this VM manages by itself: at most the configured number for each endpoint,
- * least loaded first. Used where a pool has no owner that can be reached.
+ * Slots that this VM manages by itself: its share of the capacity of each endpoint, least
+ * loaded first. Used where a pool has no owner that can be reached.
  *
  * @author banyanstile contributors
  */
@@ -26,17 +27,21 @@
 
 	private final Map<String, Integer> used = new HashMap<>();
 
-	private LocalSlotSource(ConfigurationView configuration) {
+	private final IntSupplier vms;
+
+	private LocalSlotSource(ConfigurationView configuration, IntSupplier vms) {
 		this.configuration = configuration;
+		this.vms = vms;
 	}
 
 	/**
 	 * Creates a source.
 	 * @param configuration the configuration
+	 * @param vms gives the number of VMs that share the capacity
 	 * @return the source
 	 */
-	public static LocalSlotSource create(ConfigurationView configuration) {
-		return new LocalSlotSource(configuration);
+	public static LocalSlotSource create(ConfigurationView configuration, IntSupplier vms) {
+		return new LocalSlotSource(configuration, vms);
 	}
 
 	@Override
@@ -70,10 +75,14 @@
 			.endpoints()
 			.stream()
 			.filter((target) -> target.active() && target.pool().equals(demand.pool())
-					&& !demand.excluded().contains(target.id()) && used(target) < target.slots())
+					&& !demand.excluded().contains(target.id()) && used(target) < share(target))
 			.min(Comparator.comparingInt(this::used));
 	}
 
+	private int share(EndpointTarget target) {
+		return Math.max(1, target.slots() / Math.max(1, this.vms.getAsInt()));
+	}
+
 	private int used(EndpointTarget target) {
 		return this.used.getOrDefault(key(target), 0);
 	}
--- a/server/src/main/java/org/banyanstile/server/caller/FleetServingConfiguration.java
+++ b/server/src/main/java/org/banyanstile/server/caller/FleetServingConfiguration.java
@@ -7,6 +7,7 @@
 import org.banyanstile.config.EndpointKind;
 import org.banyanstile.config.EndpointRole;
 import org.banyanstile.config.FleetConfiguration;
+import org.banyanstile.config.Team;
 import org.banyanstile.config.key.KeyRing;
 import org.banyanstile.core.common.DataCentreId;
 import org.banyanstile.core.common.EndpointId;
@@ -114,6 +115,11 @@
 		return this.dataCentres;
 	}
 
+	@Override
+	public int weightOf(String team) {
+		return this.configuration.team(team).map(Team::weight).orElse(1);
+	}
+
 	@Override
 	public RequestLimits limits() {
 		return new RequestLimits(this.configuration.limits().maxPromptTokens(),
--- a/server/src/main/java/org/banyanstile/server/caller/Pool.java
+++ b/server/src/main/java/org/banyanstile/server/caller/Pool.java
@@ -31,6 +31,19 @@
 		return this.dataCentre + "/" + this.serves + "/" + this.role.name().toLowerCase(Locale.ROOT);
 	}
 
+	/**
+	 * Returns the pool with a name.
+	 * @param name the name
+	 * @return the pool
+	 */
+	public static Pool parse(String name) {
+		String[] parts = name.split("/", 3);
+		if (parts.length != 3) {
+			throw new IllegalArgumentException("'" + name + "' is no name of a pool");
+		}
+		return new Pool(DataCentreId.of(parts[0]), parts[1], PoolRole.valueOf(parts[2].toUpperCase(Locale.ROOT)));
+	}
+
 	@Override
 	public int compareTo(Pool other) {
 		return name().compareTo(other.name());
--- a/server/src/main/java/org/banyanstile/server/caller/ServingConfiguration.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ServingConfiguration.java
@@ -55,6 +55,13 @@
 	 */
 	List<DataCentreId> dataCentres();
 
+	/**
+	 * Returns the weight of a team in fair queues.
+	 * @param team name of the team
+	 * @return the weight, 1 for an unknown team
+	 */
+	int weightOf(String team);
+
 	/**
 	 * Returns the bounds on requests.
 	 * @return the bounds
--- a/server/src/main/java/org/banyanstile/server/vm/SlotRequest.java
+++ b/server/src/main/java/org/banyanstile/server/vm/SlotRequest.java
@@ -3,25 +3,28 @@
 import java.util.List;
 
 /**
- * Request to the owner of a pool for a decode slot.
+ * Request to the owner of a pool for a slot. The reply is a message of its own, so that a
+ * request that waits occupies no thread.
  *
- * @param pool name of the partition
+ * @param pool name of the pool
  * @param team name of the team
  * @param cost prompt plus expected output in tokens
  * @param requestId identifier of the request
+ * @param fingerprint hash of team and body
  * @param deadlineMillis longest wait for a slot
  * @param excluded names of endpoints that must not be chosen
  * @author banyanstile contributors
  */
-public record SlotRequest(String pool, String team, long cost, String requestId, long deadlineMillis,
-		List<String> excluded) {
+public record SlotRequest(String pool, String team, long cost, String requestId, String fingerprint,
+		long deadlineMillis, List<String> excluded) {
 
 	/**
 	 * Copies the list.
-	 * @param pool name of the partition
+	 * @param pool name of the pool
 	 * @param team name of the team
 	 * @param cost prompt plus expected output in tokens
 	 * @param requestId identifier of the request
+	 * @param fingerprint hash of team and body
 	 * @param deadlineMillis longest wait for a slot
 	 * @param excluded names of endpoints that must not be chosen
 	 */
--- a/server/src/main/java/org/banyanstile/server/vm/VmMessages.java
+++ b/server/src/main/java/org/banyanstile/server/vm/VmMessages.java
@@ -19,9 +19,9 @@
 	private static final List<Class<? extends Record>> TYPES = List.of(Hello.class, HelloProof.class, Failure.class,
 			Acknowledged.class, Heartbeat.class, ConfigPush.class, ConfigFetch.class, GrantRequest.class,
 			GrantReply.class, FloorQuery.class, FloorPromise.class, SlotRequest.class, SlotReply.class,
-			SlotRelease.class, StreamAnnounce.class, StreamLookup.class, StreamFound.class, StreamTakeover.class,
-			StreamWithdraw.class, ClaimQuery.class, ClaimReply.class, CrashVerdict.class, SlotRowsFetch.class,
-			SlotRows.class);
+			SlotRelease.class, SlotRenew.class, StreamAnnounce.class, StreamLookup.class, StreamFound.class,
+			StreamTakeover.class, StreamWithdraw.class, ClaimQuery.class, ClaimReply.class, CrashVerdict.class,
+			SlotRowsFetch.class, SlotRows.class);
 
 	private VmMessages() {
 	}
