--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/lease/StoreSchedule.java
@@ -0,0 +1,92 @@
+package org.banyanstile.core.lease;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Times of the reads that a VM repeats, and the pause after a failed call.
+ *
+ * @author banyanstile contributors
+ */
+final class StoreSchedule {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private static final long SCAN_NANOS = 5 * SECOND;
+
+	/**
+	 * Longest pause after a failed call. Half the grace of a lease that depends on the
+	 * outage rule, so that it is renewed in time when the store returns.
+	 */
+	private static final long RETRY_NANOS = SlotLease.GRACE_NANOS / 2;
+
+	/**
+	 * Reads per second that all VMs together may spend on the configuration head.
+	 */
+	private static final int POLLS_PER_SECOND = 500;
+
+	private static final int SCAN_LIMIT = 10_000;
+
+	private final RandomGenerator random;
+
+	private boolean started;
+
+	private long nextSlotScan;
+
+	private long nextPartitionScan;
+
+	private long nextPoll;
+
+	private long notBefore;
+
+	StoreSchedule(RandomGenerator random) {
+		this.random = random;
+	}
+
+	boolean isPaused(long now) {
+		if (!this.started) {
+			this.started = true;
+			this.notBefore = now;
+			this.nextSlotScan = now;
+			this.nextPartitionScan = now;
+			this.nextPoll = now;
+		}
+		return now - this.notBefore < 0;
+	}
+
+	@Nullable
+	StoreStep scan(long now) {
+		if (now - this.nextSlotScan >= 0) {
+			return new StoreStep.Scan(SlotRecord.PREFIX, SCAN_LIMIT, now);
+		}
+		if (now - this.nextPartitionScan >= 0) {
+			return new StoreStep.Scan(PartitionRecord.PREFIX, SCAN_LIMIT, now);
+		}
+		return null;
+	}
+
+	@Nullable
+	StoreStep poll(long now) {
+		return (now - this.nextPoll >= 0) ? new StoreStep.Read(List.of(VmCoordinator.HEAD_KEY), now) : null;
+	}
+
+	void scanned(String prefix, long now) {
+		if (prefix.equals(SlotRecord.PREFIX)) {
+			this.nextSlotScan = now + SCAN_NANOS;
+		}
+		else {
+			this.nextPartitionScan = now + SCAN_NANOS;
+		}
+	}
+
+	void polled(int vms, long now) {
+		this.nextPoll = now + Math.max(SECOND, vms * SECOND / POLLS_PER_SECOND);
+	}
+
+	void failed(long now) {
+		this.notBefore = now + RETRY_NANOS / 2 + this.random.nextLong(RETRY_NANOS / 2);
+	}
+
+}
--- a/core/src/main/java/org/banyanstile/core/lease/VmCoordinator.java
+++ b/core/src/main/java/org/banyanstile/core/lease/VmCoordinator.java
@@ -31,20 +31,6 @@
 	 */
 	public static final String HEAD_KEY = "config/head";
 
-	private static final long SECOND = 1_000_000_000L;
-
-	private static final long SCAN_NANOS = 5 * SECOND;
-
-	/**
-	 * Pause after a failed call. Half the grace of a lease that depends on the outage
-	 * rule, so that it is renewed in time when the store returns.
-	 */
-	private static final long RETRY_NANOS = SECOND / 2;
-
-	private static final int READS_PER_SECOND = 500;
-
-	private static final int SCAN_LIMIT = 10_000;
-
 	private final VmId self;
 
 	private final PeerTable peers;
@@ -61,19 +47,9 @@
 
 	private final PartitionTable partitions;
 
-	private final RandomGenerator random;
+	private final StoreSchedule schedule;
 
-	private Issuer issuer = Issuer.NONE;
-
-	private long nextSlotScan;
-
-	private long nextPartitionScan;
-
-	private long nextPoll;
-
-	private long notBefore;
-
-	private boolean started;
+	private Issuer issuer = Issuer.POLL;
 
 	private boolean scanned;
 
@@ -81,7 +57,7 @@
 
 	private VmCoordinator(SlotRecord template, int slotCount, RowCodec codec, RandomGenerator random) {
 		this.self = template.vm();
-		this.random = random;
+		this.schedule = new StoreSchedule(random);
 		this.peers = PeerTable.create(random.nextLong(1, 1L << 40));
 		this.gate = ServingGate.create(this.self, this.peers, this.registered);
 		this.quorum = StoreQuorum.create(this.gate);
@@ -120,44 +96,24 @@
 	 */
 	public @Nullable StoreStep next(long now) {
 		tick(now);
-		if (!this.started) {
-			this.started = true;
-			this.notBefore = now;
-			this.nextSlotScan = now;
-			this.nextPartitionScan = now;
-			this.nextPoll = now;
-		}
-		if (now - this.notBefore < 0) {
+		if (this.schedule.isPaused(now)) {
 			return null;
 		}
 		boolean permitted = this.quorum.permitsTakeover(now);
-		StoreStep step = this.scanned ? this.lease.next(now, this.slots, permitted || this.registered.all().isEmpty())
-				: null;
-		this.issuer = Issuer.LEASE;
+		boolean claimable = permitted || this.registered.all().isEmpty();
+		StoreStep step = this.scanned ? issue(Issuer.LEASE, this.lease.next(now, this.slots, claimable)) : null;
 		if (step == null) {
-			step = scan(now);
+			step = issue(Issuer.SCAN, this.schedule.scan(now));
 		}
 		if (step == null) {
-			step = this.partitions.next(now, held(now), this.slots, permitted);
-			this.issuer = Issuer.PARTITIONS;
-		}
-		if (step == null && now - this.nextPoll >= 0) {
-			step = new StoreStep.Read(List.of(HEAD_KEY), now);
-			this.issuer = Issuer.POLL;
+			step = issue(Issuer.PARTITIONS, this.partitions.next(now, held(now), this.slots, permitted));
 		}
-		return step;
+		return (step != null) ? step : issue(Issuer.POLL, this.schedule.poll(now));
 	}
 
-	private @Nullable StoreStep scan(long now) {
-		if (now - this.nextSlotScan >= 0) {
-			this.issuer = Issuer.SLOT_SCAN;
-			return new StoreStep.Scan(SlotRecord.PREFIX, SCAN_LIMIT, now);
-		}
-		if (now - this.nextPartitionScan >= 0) {
-			this.issuer = Issuer.PARTITION_SCAN;
-			return new StoreStep.Scan(PartitionRecord.PREFIX, SCAN_LIMIT, now);
-		}
-		return null;
+	private @Nullable StoreStep issue(Issuer part, @Nullable StoreStep step) {
+		this.issuer = part;
+		return step;
 	}
 
 	/**
@@ -168,7 +124,7 @@
 	 */
 	public void complete(StoreStep step, StoreReply reply, long now) {
 		if (reply instanceof StoreReply.Failed || reply instanceof StoreReply.Unknown) {
-			this.notBefore = now + RETRY_NANOS / 2 + this.random.nextLong(RETRY_NANOS / 2);
+			this.schedule.failed(now);
 		}
 		else {
 			this.gate.contacted(step.sentAt());
@@ -183,32 +139,34 @@
 			}
 		}
 		else if (reply instanceof StoreReply.Rows rows) {
-			read(rows.rows(), now);
+			read(step, rows.rows(), now);
 		}
 		tick(now);
 	}
 
-	private void read(List<Row> rows, long now) {
+	private void read(StoreStep step, List<Row> rows, long now) {
 		switch (this.issuer) {
 			case LEASE -> this.lease.readBack(rows, this.slots, now);
 			case PARTITIONS -> this.partitions.readBack(rows, this.slots);
-			case SLOT_SCAN -> {
-				this.slots.observeAll(rows, now);
-				this.registered.setNamed(this.slots.named());
-				this.scanned = true;
-				this.nextSlotScan = now + SCAN_NANOS;
-			}
-			case PARTITION_SCAN -> {
-				this.partitions.observeAll(rows, this.slots);
-				this.nextPartitionScan = now + SCAN_NANOS;
-			}
-			default -> {
+			case SCAN -> scanned(((StoreStep.Scan) step).prefix(), rows, now);
+			case POLL -> {
 				this.head = rows.isEmpty() ? null : rows.get(0);
-				this.nextPoll = now + Math.max(SECOND, this.slots.all().size() * SECOND / READS_PER_SECOND);
+				this.schedule.polled(this.slots.all().size(), now);
 			}
 		}
 	}
 
+	private void scanned(String prefix, List<Row> rows, long now) {
+		this.schedule.scanned(prefix, now);
+		if (prefix.equals(PartitionRecord.PREFIX)) {
+			this.partitions.observeAll(rows, this.slots);
+			return;
+		}
+		this.slots.observeAll(rows, now);
+		this.registered.setNamed(this.slots.named());
+		this.scanned = true;
+	}
+
 	/**
 	 * Records a heartbeat of another VM.
 	 * @param heartbeat the heartbeat
@@ -352,6 +310,14 @@
 		return this.slots.all();
 	}
 
+	/**
+	 * Returns whether the slot rows were read from the store at least once.
+	 * @return whether they were
+	 */
+	public boolean isScanned() {
+		return this.scanned;
+	}
+
 	/**
 	 * Returns the VMs that count for majorities.
 	 * @return the VMs
@@ -391,7 +357,7 @@
 	 */
 	private enum Issuer {
 
-		NONE, LEASE, PARTITIONS, SLOT_SCAN, PARTITION_SCAN, POLL
+		LEASE, PARTITIONS, SCAN, POLL
 
 	}
 
