Wire coordination, rollout, limits, pools and directory into the daemon

Cause: the daemon used local stand-ins only. Ruled out: one class for all wiring; FleetParts holds what needs the fleet, so that tests start a VM without it. Change: Daemon.start runs the coordination loop, follows the configuration, checks serving by gate and freshness, and shuts down by leaving, waiting and releasing; the setting shutdownWindowMillis shortens the wait for tests; coordination gains the times of its reads and a scan on request. Conclusion: next is a run of several processes.

--- a/config/src/main/java/org/banyanstile/config/VmSettings.java
+++ b/config/src/main/java/org/banyanstile/config/VmSettings.java
@@ -1,7 +1,12 @@
 package org.banyanstile.config;
 
+import java.time.Duration;
 import java.util.List;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonInclude;
+import org.jspecify.annotations.Nullable;
+
 /**
  * Settings of one VM, read once when the daemon starts.
  *
@@ -17,11 +22,18 @@
  * @param operatorTokenHash SHA-256 of the operators' bearer token, in hexadecimal
  * @param vmSlots number of VM slots, the same on all VMs
  * @param workers number of worker threads for requests
+ * @param shutdownWindowMillis how long a VM that shuts down goes on accepting requests,
+ * or {@code null} for 10 s, the time for which callers may hold a list of VMs
  * @author banyanstile contributors
  */
 public record VmSettings(String vm, String dataCentre, String callerAddress, String operatorAddress, String vmAddress,
 		String tableService, String vmList, List<String> seedVms, String fleetKey, String operatorTokenHash,
-		int vmSlots, int workers) {
+		int vmSlots, int workers, @JsonInclude(JsonInclude.Include.NON_NULL) @Nullable Integer shutdownWindowMillis) {
+
+	/**
+	 * Callers may hold a list of VMs for this long.
+	 */
+	private static final Duration STANDARD_SHUTDOWN_WINDOW = Duration.ofSeconds(10);
 
 	/**
 	 * Copies the list.
@@ -37,11 +49,45 @@
 	 * @param operatorTokenHash SHA-256 of the operators' bearer token
 	 * @param vmSlots number of VM slots
 	 * @param workers number of worker threads
+	 * @param shutdownWindowMillis how long a VM that shuts down goes on accepting
+	 * requests
 	 */
+	@JsonCreator
 	public VmSettings {
 		seedVms = List.copyOf(seedVms);
 	}
 
+	/**
+	 * Creates settings with the standard shutdown window.
+	 * @param vm name of the VM
+	 * @param dataCentre data centre in which it runs
+	 * @param callerAddress address for callers
+	 * @param operatorAddress address for operators
+	 * @param vmAddress address for other VMs
+	 * @param tableService base URL of the table service
+	 * @param vmList base URL of the platform's list of VMs
+	 * @param seedVms addresses of other VMs
+	 * @param fleetKey secret shared by the VMs of the fleet
+	 * @param operatorTokenHash hash of the operators' bearer token
+	 * @param vmSlots number of VM slots
+	 * @param workers number of worker threads
+	 */
+	public VmSettings(String vm, String dataCentre, String callerAddress, String operatorAddress, String vmAddress,
+			String tableService, String vmList, List<String> seedVms, String fleetKey, String operatorTokenHash,
+			int vmSlots, int workers) {
+		this(vm, dataCentre, callerAddress, operatorAddress, vmAddress, tableService, vmList, seedVms, fleetKey,
+				operatorTokenHash, vmSlots, workers, null);
+	}
+
+	/**
+	 * Returns how long a VM that shuts down goes on accepting requests.
+	 * @return the time, 10 s unless set
+	 */
+	public Duration shutdownWindow() {
+		Integer millis = this.shutdownWindowMillis;
+		return (millis != null) ? Duration.ofMillis(millis) : STANDARD_SHUTDOWN_WINDOW;
+	}
+
 	/**
 	 * Leaves out the fleet key and the token hash, so that neither reaches a log.
 	 */
--- a/core/src/main/java/org/banyanstile/core/lease/StoreSchedule.java
+++ b/core/src/main/java/org/banyanstile/core/lease/StoreSchedule.java
@@ -81,6 +81,10 @@
 		}
 	}
 
+	void requestSlotScan(long now) {
+		this.nextSlotScan = now;
+	}
+
 	void polled(int vms, long now) {
 		this.nextPoll = now + Math.max(SECOND, vms * SECOND / POLLS_PER_SECOND);
 	}
--- a/core/src/main/java/org/banyanstile/core/lease/VmCoordinator.java
+++ b/core/src/main/java/org/banyanstile/core/lease/VmCoordinator.java
@@ -256,6 +256,23 @@
 		return this.lease.isReleased();
 	}
 
+	/**
+	 * Asks for a scan of the slot rows as the next store call.
+	 * @param now the current time
+	 */
+	public void requestScan(long now) {
+		this.schedule.requestSlotScan(now);
+	}
+
+	/**
+	 * Returns whether the outage rule permits serving.
+	 * @param now the current time
+	 * @return whether it does
+	 */
+	public boolean outage(long now) {
+		return this.gate.outage(now);
+	}
+
 	/**
 	 * Returns whether this VM may serve.
 	 * @param now the current time
--- a/server/src/main/java/org/banyanstile/server/Daemon.java
+++ b/server/src/main/java/org/banyanstile/server/Daemon.java
@@ -1,5 +1,6 @@
 package org.banyanstile.server;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
@@ -23,6 +24,8 @@
 import org.banyanstile.server.caller.RunningStreams;
 import org.banyanstile.server.endpoint.EngineClient;
 import org.banyanstile.server.endpoint.ServiceClient;
+import org.banyanstile.server.operator.OperatorServer;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A running VM of the fleet.
@@ -35,56 +38,76 @@
 
 	private static final long ANSWER_BYTES = 16L * 1024 * 1024;
 
-	private static final Duration POLL = Duration.ofMillis(20);
+	private static final long POLL_MILLIS = 20;
 
 	private static final Logger logger = LogManager.getLogger(Daemon.class);
 
-	private final Duration shutdownWindow;
+	private final VmSettings settings;
 
-	private final HttpClient http;
+	private final AppliedConfiguration configuration;
+
+	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+	private final HttpClient http = HttpClient.create(2);
+
+	private final RunningStreams running = new RunningStreams();
+
+	private final ExecutorService actions = Executors.newCachedThreadPool(Daemon::daemonThread);
+
+	private final EngineClient engine;
 
 	private final EngineCanceller canceller;
 
-	private final ExecutorService actions;
+	private final @Nullable FleetParts fleet;
 
 	private final CallWatch watch;
 
 	private final CallerServer callers;
 
-	private final PrometheusMeterRegistry registry;
-
-	private volatile boolean leaving;
-
-	private Daemon(VmSettings settings, AppliedConfiguration configuration) {
-		this.shutdownWindow = Duration.ofSeconds(10);
-		this.registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-		this.http = HttpClient.create(2);
-		EngineClient engine = EngineClient.create(this.http, () -> settings.vm() + "/0");
-		this.canceller = EngineCanceller.create(engine, 4);
-		this.actions = Executors.newCachedThreadPool(Daemon::daemonThread);
-		this.watch = CallWatch.start(configuration, () -> true, this.actions);
-		RequestServices services = new RequestServices(DataCentreId.of(settings.dataCentre()), configuration,
-				() -> true, LocalTeamLimiter.create(configuration, Ticker.system()),
-				LocalSlotSource.create(configuration, () -> 1), LocalClaimService.create(),
-				LocalStreamDirectory.create(), new RetryAllowance(), engine, ServiceClient.create(this.http),
-				this.canceller, new RunningStreams(),
-				AnswerMemory.create(ANSWER_RETENTION, ANSWER_BYTES, Ticker.system()), this.watch,
-				RequestMetrics.create(this.registry));
-		this.callers = CallerServer.start(Addresses.parse(settings.callerAddress()), settings.workers(), services,
-				() -> members(settings));
+	private final @Nullable OperatorServer operators;
+
+	private Daemon(VmSettings settings, AppliedConfiguration configuration, boolean coordinated) throws IOException {
+		this.settings = settings;
+		this.configuration = configuration;
+		this.engine = EngineClient.create(this.http, this::holder);
+		this.canceller = EngineCanceller.create(this.engine, 4);
+		FleetParts parts = coordinated
+				? new FleetParts(settings, configuration, this.http, this.engine, this.canceller, this.running) : null;
+		this.fleet = parts;
+		RequestParts requests = (parts != null) ? parts.parts() : localParts();
+		this.watch = CallWatch.start(configuration, requests.serving(), this.actions);
+		this.callers = CallerServer.start(Addresses.parse(settings.callerAddress()), settings.workers(),
+				services(requests), requests.members());
+		if (parts != null) {
+			parts.start();
+			this.operators = OperatorServer.start(Addresses.parse(settings.operatorAddress()),
+					settings.operatorTokenHash(), parts.rollout(), () -> parts.status(this.callers.running()),
+					new BurnCounts(settings.vm()), this.registry);
+		}
+		else {
+			this.operators = null;
+		}
 	}
 
 	/**
-	 * Starts a VM.
+	 * Starts a VM of a fleet.
 	 * @param settings its settings
 	 * @return the running VM
+	 * @throws IOException if an address cannot be bound
 	 */
-	public static Daemon start(VmSettings settings) {
-		return new Daemon(settings, new AppliedConfiguration());
+	public static Daemon start(VmSettings settings) throws IOException {
+		return new Daemon(settings, new AppliedConfiguration(), true);
 	}
 
-	static Daemon start(VmSettings settings, AppliedConfiguration configuration) {
-		return new Daemon(settings, configuration);
+	/**
+	 * Starts a VM without coordination, with limits, slots and claims of its own.
+	 * @param settings its settings
+	 * @param configuration the configuration
+	 * @return the running VM
+	 * @throws IOException if an address cannot be bound
+	 */
+	static Daemon startAlone(VmSettings settings, AppliedConfiguration configuration) throws IOException {
+		return new Daemon(settings, configuration, false);
 	}
 
 	private static Thread daemonThread(Runnable task) {
@@ -93,9 +116,25 @@
 		return thread;
 	}
 
-	private List<MemberDirectory.Member> members(VmSettings settings) {
-		return this.leaving ? List.of()
-				: List.of(new MemberDirectory.Member(settings.callerAddress(), settings.dataCentre()));
+	private String holder() {
+		FleetParts parts = this.fleet;
+		return (parts != null) ? parts.holder() : this.settings.vm() + "/0";
+	}
+
+	private RequestParts localParts() {
+		List<MemberDirectory.Member> members = List
+			.of(new MemberDirectory.Member(this.settings.callerAddress(), this.settings.dataCentre()));
+		return new RequestParts(() -> true, LocalTeamLimiter.create(this.configuration, Ticker.system()),
+				LocalSlotSource.create(this.configuration, () -> 1), LocalClaimService.create(),
+				LocalStreamDirectory.create(), () -> members);
+	}
+
+	private RequestServices services(RequestParts parts) {
+		return new RequestServices(DataCentreId.of(this.settings.dataCentre()), this.configuration, parts.serving(),
+				parts.limiter(), parts.slots(), parts.claims(), parts.directory(), new RetryAllowance(), this.engine,
+				ServiceClient.create(this.http), this.canceller, this.running,
+				AnswerMemory.create(ANSWER_RETENTION, ANSWER_BYTES, Ticker.system()), this.watch,
+				RequestMetrics.create(this.registry));
 	}
 
 	/**
@@ -116,20 +155,27 @@
 
 	/**
 	 * Shuts down without cutting off a request: this VM leaves the list of VMs, serves
-	 * for as long as callers may hold a cached list, and waits for running requests.
+	 * for as long as callers may hold a cached list, waits for running requests, and
+	 * releases its partitions and slot.
 	 */
 	public void shutDown() {
-		this.leaving = true;
 		logger.info("shutting down, {} requests running", this.callers.running());
-		long windowEnd = System.nanoTime() + this.shutdownWindow.toNanos();
+		FleetParts parts = this.fleet;
+		if (parts != null) {
+			parts.leave();
+		}
+		long windowEnd = System.nanoTime() + this.settings.shutdownWindow().toNanos();
 		try {
 			while (System.nanoTime() < windowEnd || this.callers.running() > 0) {
-				Thread.sleep(POLL.toMillis());
+				Thread.sleep(POLL_MILLIS);
 			}
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
+		if (parts != null) {
+			parts.release();
+		}
 		close();
 		logger.info("shutdown complete");
 	}
@@ -140,6 +186,14 @@
 	@Override
 	public void close() {
 		this.callers.close();
+		OperatorServer operator = this.operators;
+		if (operator != null) {
+			operator.close();
+		}
+		FleetParts parts = this.fleet;
+		if (parts != null) {
+			parts.close();
+		}
 		this.watch.close();
 		this.canceller.close();
 		this.actions.shutdownNow();
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/FleetParts.java
@@ -0,0 +1,275 @@
+package org.banyanstile.server;
+
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.UUID;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.banyanstile.config.FleetConfiguration;
+import org.banyanstile.config.VmSettings;
+import org.banyanstile.config.api.VmStatus;
+import org.banyanstile.core.common.DataCentreId;
+import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.common.VmId;
+import org.banyanstile.core.lease.SlotRecord;
+import org.banyanstile.core.lease.VmCoordinator;
+import org.banyanstile.core.membership.VmState;
+import org.banyanstile.core.rollout.ConfigurationStore;
+import org.banyanstile.core.store.StoreException;
+import org.banyanstile.io.http.HttpClient;
+import org.banyanstile.server.caller.EngineCanceller;
+import org.banyanstile.server.caller.MemberDirectory;
+import org.banyanstile.server.caller.RunningStreams;
+import org.banyanstile.server.endpoint.EngineClient;
+import org.banyanstile.server.fleet.FleetSlotSource;
+import org.banyanstile.server.fleet.FleetStreamDirectory;
+import org.banyanstile.server.fleet.FleetTeamLimiter;
+import org.banyanstile.server.fleet.Messenger;
+import org.banyanstile.server.fleet.Partitions;
+import org.banyanstile.server.fleet.PoolOwner;
+import org.banyanstile.server.operator.RolloutService;
+import org.banyanstile.server.operator.RolloutTimes;
+import org.banyanstile.server.platform.Coordination;
+import org.banyanstile.server.platform.CoordinationLoop;
+import org.banyanstile.server.platform.HttpTableStore;
+import org.banyanstile.server.platform.JsonRowCodec;
+import org.banyanstile.server.platform.VmListClient;
+import org.banyanstile.server.vm.ConfigPush;
+import org.banyanstile.server.vm.MessageHandlers;
+import org.banyanstile.server.vm.VmIdentity;
+import org.banyanstile.server.vm.VmMessages;
+import org.banyanstile.server.vm.VmPeers;
+
+/**
+ * Coordination of this VM with the fleet: connections, slot, partitions, configuration,
+ * limits, pools and directory.
+ *
+ * @author banyanstile contributors
+ */
+final class FleetParts implements AutoCloseable {
+
+	private static final long SECOND = 1000;
+
+	private static final long CONFIGURATION_MILLIS = 100;
+
+	private static final long WAITING_MILLIS = 20;
+
+	private static final long RECONCILE_MILLIS = 2000;
+
+	private static final Duration RELEASE = Duration.ofSeconds(5);
+
+	private static final Logger logger = LogManager.getLogger(FleetParts.class);
+
+	private final VmSettings settings;
+
+	private final AppliedConfiguration applied;
+
+	private final MessageHandlers handlers = new MessageHandlers();
+
+	private final Coordination coordination;
+
+	private final CoordinationView view;
+
+	private final VmPeers peers;
+
+	private final CoordinationLoop loop;
+
+	private final RolloutService rollout;
+
+	private final ConfigurationStore store;
+
+	private final FleetTeamLimiter limiter;
+
+	private final PoolOwner pools;
+
+	private final FleetStreamDirectory directory;
+
+	private final RequestParts parts;
+
+	private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(3, FleetParts::thread);
+
+	private volatile boolean leaving;
+
+	FleetParts(VmSettings settings, AppliedConfiguration applied, HttpClient http, EngineClient engine,
+			EngineCanceller canceller, RunningStreams running) {
+		this.settings = settings;
+		this.applied = applied;
+		VmId self = VmId.of(settings.vm());
+		JsonRowCodec codec = new JsonRowCodec();
+		Random random = new SecureRandom();
+		this.coordination = Coordination.create(VmCoordinator.create(slot(settings), settings.vmSlots(), codec, random),
+				Ticker.system());
+		this.view = new CoordinationView(self, this.coordination, settings.vmSlots());
+		this.peers = VmPeers.create(new VmIdentity(self, settings.vmAddress(), settings.fleetKey()), VmMessages.codec(),
+				this.handlers);
+		HttpTableStore tables = HttpTableStore.create(http, settings.tableService());
+		this.loop = CoordinationLoop.create(this.coordination, tables, VmListClient.create(http, settings.vmList()),
+				this.peers, codec, settings.seedVms());
+		this.store = ConfigurationStore.create(tables, codec, () -> settings.vm() + "-" + UUID.randomUUID());
+		this.rollout = RolloutService.create(self, this.store, new RolloutView(this.coordination, this.peers),
+				this::apply, Ticker.system(), RolloutTimes.standard());
+		Messenger messenger = Messenger.over(this.peers);
+		this.limiter = FleetTeamLimiter.create(this.view, this.view, messenger, settings.vmSlots(), Ticker.system(),
+				this.handlers);
+		this.pools = PoolOwner.create(this.view, this.view, messenger, applied, engine, canceller, Ticker.system(),
+				this.handlers);
+		this.directory = FleetStreamDirectory.create(this.view, messenger, running, this.handlers);
+		this.parts = new RequestParts(this::mayServe, this.limiter,
+				FleetSlotSource.create(this.view, messenger, applied, this.pools,
+						LocalSlotSource.create(applied, this.view::registeredVms), this.handlers),
+				LocalClaimService.create(), this.directory, this::members);
+	}
+
+	private static SlotRecord slot(VmSettings settings) {
+		return new SlotRecord(0, VmId.of(settings.vm()), 0, DataCentreId.of(settings.dataCentre()),
+				settings.callerAddress(), settings.vmAddress(), VmState.LIVE, "");
+	}
+
+	private static Thread thread(Runnable task) {
+		Thread thread = new Thread(task, "fleet-timer");
+		thread.setDaemon(true);
+		return thread;
+	}
+
+	RequestParts parts() {
+		return this.parts;
+	}
+
+	RolloutService rollout() {
+		return this.rollout;
+	}
+
+	/**
+	 * Binds the address for other VMs and starts all threads.
+	 * @throws IOException if the address cannot be bound
+	 */
+	void start() throws IOException {
+		this.handlers.register(ConfigPush.class, (from, push) -> {
+			this.rollout.received(push.version(), push.body());
+			return null;
+		});
+		this.coordination.setPartitions(Partitions.all(this.applied.current()));
+		this.peers.start();
+		this.loop.start(this.handlers);
+		repeat(CONFIGURATION_MILLIS, this::followConfiguration);
+		repeat(SECOND, this.limiter::update);
+		repeat(SECOND, this.directory::announceAgain);
+		repeat(WAITING_MILLIS, this.pools::expire);
+		repeat(RECONCILE_MILLIS, this.pools::reconcile);
+	}
+
+	private void repeat(long millis, Runnable task) {
+		var unused = this.timers.scheduleWithFixedDelay(() -> {
+			try {
+				task.run();
+			}
+			catch (RuntimeException ex) {
+				// An exception would end the schedule.
+				logger.error("fleet task failed", ex);
+			}
+		}, millis, millis, TimeUnit.MILLISECONDS);
+	}
+
+	private void apply(long version, FleetConfiguration configuration) {
+		this.applied.apply(version, configuration);
+		this.limiter.configure(configuration);
+		this.coordination.setPartitions(Partitions.all(this.applied.current()));
+		this.coordination.setConfigVersion(version);
+	}
+
+	private void followConfiguration() {
+		OptionalLong readAt = this.coordination.slotsReadAt();
+		if (this.coordination.slot().isPresent() && readAt.isPresent()) {
+			this.rollout.registered(readAt.getAsLong());
+		}
+		else {
+			this.rollout.unregistered();
+		}
+		this.coordination.reports().forEach((report) -> this.rollout.reported(report.heartbeat().configVersion()));
+		long headReadAt = this.coordination.headReadAt();
+		try {
+			this.rollout.headRead(this.store.version(this.coordination.configHead().orElse(null)), headReadAt);
+		}
+		catch (StoreException ex) {
+			// Read again in the next round; without it the serving check closes.
+		}
+	}
+
+	private boolean mayServe() {
+		return this.coordination.isServing() && (this.rollout.isFresh() || this.coordination.isOutage());
+	}
+
+	/**
+	 * Returns the VM and epoch in whose name this VM calls engines.
+	 * @return the holder
+	 */
+	String holder() {
+		return this.settings.vm() + "/" + this.view.epoch();
+	}
+
+	private List<MemberDirectory.Member> members() {
+		List<MemberDirectory.Member> members = new ArrayList<>();
+		for (SlotRecord row : this.coordination.members()) {
+			boolean gone = row.state() != VmState.LIVE || (this.leaving && row.vm().equals(this.view.self()));
+			if (!gone && isAlive(row.vm())) {
+				members.add(new MemberDirectory.Member(row.callerAddress(), row.dataCentre().name()));
+			}
+		}
+		return members;
+	}
+
+	private boolean isAlive(VmId vm) {
+		return vm.equals(this.view.self())
+				|| this.coordination.reports().stream().anyMatch((report) -> report.heartbeat().vm().equals(vm));
+	}
+
+	VmStatus status(int running) {
+		SlotRecord slot = this.coordination.slot().orElse(null);
+		boolean serving = mayServe();
+		String state = this.leaving ? "leaving" : (slot != null) ? "live" : "starting";
+		return new VmStatus(this.settings.vm(), this.settings.dataCentre(), state, serving,
+				serving ? "" : "no current evidence that this VM may serve", this.applied.current().version(),
+				this.coordination.storeAgeMillis(), this.view.slot(), this.view.epoch(), running,
+				this.coordination.registered().size(), this.coordination.reports().size() + 1,
+				this.coordination.owned().keySet().stream().sorted().toList());
+	}
+
+	/**
+	 * Leaves the list of VMs and gives up partitions, while this VM goes on serving.
+	 */
+	void leave() {
+		this.leaving = true;
+		this.coordination.setState(VmState.LEAVING);
+	}
+
+	/**
+	 * Releases partitions and slot.
+	 */
+	void release() {
+		try {
+			if (!this.loop.release(RELEASE)) {
+				logger.warn("the slot was not released and expires");
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	@Override
+	public void close() {
+		this.timers.shutdownNow();
+		this.loop.close();
+		this.peers.close();
+	}
+
+}
--- a/server/src/main/java/org/banyanstile/server/fleet/PoolSlots.java
+++ b/server/src/main/java/org/banyanstile/server/fleet/PoolSlots.java
@@ -86,17 +86,19 @@
 			SlotRequest request = match.waiting().request();
 			String endpoint = match.target().id().name();
 			this.slots.put(request.requestId(), new Slot(endpoint, now + VALID_NANOS));
-			answers
-				.add(new Answer(match.waiting().vm(), new SlotReply(this.name, request.requestId(), endpoint, null, 0)));
+			answers.add(
+					new Answer(match.waiting().vm(), new SlotReply(this.name, request.requestId(), endpoint, null, 0)));
 			match = this.queue.poll((waiting) -> choose(waiting, targets));
 		}
-		this.queue.removeIf((waiting) -> waiting.until() - now <= 0).forEach((waiting) -> answers.add(refusal(waiting)));
+		this.queue.removeIf((waiting) -> waiting.until() - now <= 0)
+			.forEach((waiting) -> answers.add(refusal(waiting)));
 		return answers;
 	}
 
 	private @Nullable EndpointTarget choose(SlotWait waiting, List<EndpointTarget> targets) {
 		return targets.stream()
-			.filter((target) -> !waiting.request().excluded().contains(target.id().name()) && used(target) < limit(target))
+			.filter((target) -> !waiting.request().excluded().contains(target.id().name())
+					&& used(target) < limit(target))
 			.min(Comparator.comparingInt(this::used))
 			.orElse(null);
 	}
@@ -112,7 +114,7 @@
 	}
 
 	private Answer refusal(SlotWait waiting) {
-		return new Answer(wait.vm(),
+		return new Answer(waiting.vm(),
 				new SlotReply(this.name, waiting.request().requestId(), null, SlotReply.OVERLOADED, RETRY_MILLIS));
 	}
 
--- a/server/src/main/java/org/banyanstile/server/platform/Coordination.java
+++ b/server/src/main/java/org/banyanstile/server/platform/Coordination.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Function;
@@ -36,6 +37,12 @@
 
 	private volatile Predicate<VmId> floorsSuspended = (vm) -> false;
 
+	private long slotsReadAt;
+
+	private boolean slotsRead;
+
+	private long headReadAt;
+
 	private Coordination(VmCoordinator coordinator, Ticker ticker) {
 		this.coordinator = coordinator;
 		this.ticker = ticker;
@@ -106,6 +113,37 @@
 		return free;
 	}
 
+	/**
+	 * Returns when the slot rows were last scanned.
+	 * @return time before the scan was sent, or empty before the first scan
+	 */
+	public synchronized OptionalLong slotsReadAt() {
+		return this.slotsRead ? OptionalLong.of(this.slotsReadAt) : OptionalLong.empty();
+	}
+
+	/**
+	 * Returns when {@link #configHead()} was read.
+	 * @return time before the read was sent
+	 */
+	public synchronized long headReadAt() {
+		return this.headReadAt;
+	}
+
+	/**
+	 * Asks for a scan of the slot rows as the next store call.
+	 */
+	public synchronized void requestScan() {
+		this.coordinator.requestScan(this.ticker.nanos());
+	}
+
+	/**
+	 * Returns whether the outage rule permits serving now.
+	 * @return whether it does
+	 */
+	public synchronized boolean isOutage() {
+		return this.coordinator.outage(this.ticker.nanos());
+	}
+
 	/**
 	 * Returns whether a slot epoch has ended, as far as the rows show: the slot is
 	 * released or has a higher epoch.
@@ -276,6 +314,15 @@
 	}
 
 	synchronized void complete(StoreStep step, StoreReply reply) {
+		if (reply instanceof StoreReply.Rows && step instanceof StoreStep.Scan scan
+				&& scan.prefix().equals(SlotRecord.PREFIX)) {
+			this.slotsRead = true;
+			this.slotsReadAt = scan.sentAt();
+		}
+		if (reply instanceof StoreReply.Rows && step instanceof StoreStep.Read read
+				&& read.keys().equals(List.of(VmCoordinator.HEAD_KEY))) {
+			this.headReadAt = read.sentAt();
+		}
 		this.coordinator.complete(step, reply, this.ticker.nanos());
 	}
 
--- a/server/src/test/java/org/banyanstile/server/TestVm.java
+++ b/server/src/test/java/org/banyanstile/server/TestVm.java
@@ -1,5 +1,7 @@
 package org.banyanstile.server;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
@@ -43,7 +45,12 @@
 		configure(TEAM_KEY, endpoints);
 		VmSettings settings = new VmSettings("vm-1", "dc-a", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0",
 				"http://127.0.0.1:1", "http://127.0.0.1:1", List.of(), "00", "00".repeat(32), 16, 16);
-		this.daemon = Daemon.start(settings, this.configuration);
+		try {
+			this.daemon = Daemon.startAlone(settings, this.configuration);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
 	}
 
 	static Endpoint engine(String name, EndpointRole role, String address) {
