Pass the team in the test of the stream takeover message

Change: the test passes team and key hash. Measured: mvn verify fails to compile before, passes after.

--- a/server/src/test/java/org/banyanstile/server/vm/VmPeersTests.java
+++ b/server/src/test/java/org/banyanstile/server/vm/VmPeersTests.java
@@ -102,8 +102,8 @@
 		assertThat(grant(a, "vm-b"), equalTo(new GrantReply(50, 2000)));
 		await(() -> this.received.stream().map(Heartbeat::vm).distinct().count() == 2);
 		assertThrows(VmUnreachableException.class, () -> grant(a, "vm-c"));
-		assertThrows(VmReplyTimeoutException.class,
-				() -> a.request(VmId.of("vm-b"), new StreamTakeover("r"), Acknowledged.class, Duration.ofMillis(50)));
+		assertThrows(VmReplyTimeoutException.class, () -> a.request(VmId.of("vm-b"), new StreamTakeover("t", "r"),
+				Acknowledged.class, Duration.ofMillis(50)));
 		assertThrows(VmRequestFailedException.class,
 				() -> a.request(VmId.of("vm-b"), new ConfigFetch(1), ConfigPush.class, LONG));
 	}
