Pass the options of the operator program

Cause: config apply names the version it replaces and the VMs to call. Ruled out: a retry loop in the driver; the program itself waits for acceptance. Conclusion: none yet.

--- a/emulator/src/main/java/org/banyanstile/emulator/quickstart/QuickstartDeployment.java
+++ b/emulator/src/main/java/org/banyanstile/emulator/quickstart/QuickstartDeployment.java
@@ -79,11 +79,13 @@
 		Files.writeString(file, json);
 		Path token = this.deployment.directory().resolve("operator-token");
 		Files.writeString(token, this.deployment.operatorToken());
-		System.out.println(
-				run(Launcher.Program.OPERATOR, "config-apply",
-						List.of("config", "apply", file.toString(), "--address",
-								this.deployment.vms().get(0).operatorAddress(), "--token-file", token.toString()))
-					.strip());
+		List<String> command = new ArrayList<>(
+				List.of("config", "apply", "--replaces", "0", "--token-file", token.toString()));
+		for (VmNode vm : this.deployment.vms()) {
+			command.addAll(List.of("--vm", vm.operatorAddress()));
+		}
+		command.add(file.toString());
+		System.out.println(run(Launcher.Program.OPERATOR, "config-apply", command).strip());
 	}
 
 	private String run(Launcher.Program program, String name, List<String> args)
