--- a/emulator/src/main/java/org/banyanstile/emulator/engine/PrefillGate.java
+++ b/emulator/src/main/java/org/banyanstile/emulator/engine/PrefillGate.java
@@ -29,7 +29,7 @@
 		}
 		Waiter waiter = new Waiter(priority, this.arrivals++);
 		this.waiters.add(waiter);
-		while (this.running >= this.concurrency || this.waiters.peek() != waiter) {
+		while (this.running >= this.concurrency || !waiter.equals(this.waiters.peek())) {
 			wait();
 		}
 		this.waiters.remove();
--- a/emulator/src/main/java/org/banyanstile/emulator/load/TextCaller.java
+++ b/emulator/src/main/java/org/banyanstile/emulator/load/TextCaller.java
@@ -68,7 +68,7 @@
 				this.vms.failed(vm);
 			}
 			boolean lost = refusal.type().equals("stream_lost");
-			if (!lost && !refusal.isRetryable() || System.nanoTime() - giveUpAt >= 0) {
+			if ((!lost && !refusal.isRetryable()) || System.nanoTime() - giveUpAt >= 0) {
 				this.result.refused(refusal.type());
 				return;
 			}
--- a/emulator/src/main/java/org/banyanstile/emulator/platform/LaggingVmList.java
+++ b/emulator/src/main/java/org/banyanstile/emulator/platform/LaggingVmList.java
@@ -30,13 +30,11 @@
 		List<Vm> visible = new ArrayList<>();
 		for (Deque<Change> history : this.changes.values()) {
 			Change shown = null;
-			for (Change change : history) {
-				if (now - change.at() >= this.lagNanos) {
-					shown = change;
-				}
+			while (!history.isEmpty() && now - history.getFirst().at() >= this.lagNanos) {
+				shown = history.removeFirst();
 			}
-			while (shown != null && history.getFirst() != shown) {
-				history.removeFirst();
+			if (shown != null) {
+				history.addFirst(shown);
 			}
 			if (shown != null && !shown.vm().state().equals("gone")) {
 				visible.add(shown.vm());
