Add the operator listener and the rollout service

Cause: operators change the configuration and read status, burn counters and metrics through a listener of their own. One problem text for all failures of the store; "unavailable" means not stored, "unknown" means that the version has to be read back. Change: Undertow listener with bearer token, bounded body, headers, time and connections; routes of section 4.6 and GET /operator/v1/config?version=N for reading back. RolloutService stores a change, applies it, sends it to the other VMs and evaluates the acceptance. FleetView, ConfigurationSink, StatusSource and BurnSource are the interfaces to the rest of the daemon.

--- a/core/src/test/java/org/banyanstile/core/rollout/RolloutTests.java
+++ b/core/src/test/java/org/banyanstile/core/rollout/RolloutTests.java
@@ -106,6 +106,8 @@
 		assertThat(this.freshness.isFresh(SECOND), is(false));
 		this.freshness.registered(2 * SECOND);
 		assertThat(this.freshness.isFresh(2 * SECOND), is(false));
+		this.freshness.read(1, SECOND + SECOND / 2);
+		assertThat("reply after the registration", this.freshness.isFresh(2 * SECOND), is(false));
 		this.freshness.read(1, 3 * SECOND);
 		assertThat(this.freshness.isFresh(3 * SECOND), is(true));
 	}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/operator/ConfigurationService.java
@@ -0,0 +1,45 @@
+package org.banyanstile.server.operator;
+
+import org.banyanstile.config.FleetConfiguration;
+import org.banyanstile.config.api.ChangeResult;
+import org.banyanstile.config.api.CurrentConfiguration;
+import org.banyanstile.config.api.RolloutStatus;
+import org.banyanstile.core.store.StoreException;
+
+/**
+ * Versions of the configuration as operators see them. Calls block.
+ *
+ * @author banyanstile contributors
+ */
+public interface ConfigurationService {
+
+	/**
+	 * Returns the version in force at this VM.
+	 * @return the version and its content
+	 */
+	CurrentConfiguration current();
+
+	/**
+	 * Reads a stored version.
+	 * @param version the version
+	 * @return the version and its content, which is {@code null} if it does not exist or
+	 * is no longer retained
+	 * @throws StoreException if the table service gave no answer
+	 */
+	CurrentConfiguration stored(long version) throws StoreException;
+
+	/**
+	 * Replaces the configuration.
+	 * @param replaced the version that it replaces
+	 * @param configuration the new, valid configuration
+	 * @return the outcome
+	 */
+	ChangeResult replace(long replaced, FleetConfiguration configuration);
+
+	/**
+	 * Returns the progress of the latest version that this VM knows.
+	 * @return the progress
+	 */
+	RolloutStatus status();
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/operator/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Listener for operators, and the service that stores and distributes the configuration.
+ */
+@NullMarked
+package org.banyanstile.server.operator;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/server/src/test/java/org/banyanstile/server/operator/FakeFleet.java
@@ -0,0 +1,52 @@
+package org.banyanstile.server.operator;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.common.VmId;
+
+/**
+ * Fake of two other VMs that acknowledge each version at once unless they are frozen.
+ *
+ * @author banyanstile contributors
+ */
+final class FakeFleet implements FleetView {
+
+	private final Map<VmId, Long> versions = new HashMap<>(Map.of(VmId.of("b"), 0L, VmId.of("c"), 0L));
+
+	private final List<Long> pushes = new ArrayList<>();
+
+	private final List<VmId> frozen = new ArrayList<>();
+
+	void freeze(VmId vm) {
+		this.frozen.add(vm);
+	}
+
+	List<Long> pushed() {
+		return this.pushes;
+	}
+
+	@Override
+	public Registered registered() {
+		return new Registered(List.of(VmId.of("a"), VmId.of("b"), VmId.of("c")), Ticker.system().nanos());
+	}
+
+	@Override
+	public Map<VmId, Long> reported() {
+		return this.versions;
+	}
+
+	@Override
+	public void requestScan() {
+	}
+
+	@Override
+	public void push(long version, String body) {
+		this.pushes.add(version);
+		this.versions.replaceAll((vm, old) -> this.frozen.contains(vm) ? old : Long.valueOf(version));
+	}
+
+}
--- /dev/null
+++ b/server/src/test/java/org/banyanstile/server/operator/OperatorServerTests.java
@@ -0,0 +1,194 @@
+package org.banyanstile.server.operator;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.banyanstile.config.FleetConfiguration;
+import org.banyanstile.config.Limits;
+import org.banyanstile.config.Region;
+import org.banyanstile.config.api.BurnReport;
+import org.banyanstile.config.api.VmStatus;
+import org.banyanstile.config.json.ConfigurationJson;
+import org.banyanstile.config.key.OperatorToken;
+import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.common.VmId;
+import org.banyanstile.core.rollout.ConfigurationStore;
+import org.banyanstile.io.http.HttpClient;
+import org.banyanstile.io.http.HttpRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+
+/**
+ * Tests for {@link OperatorServer} and {@link RolloutService} over HTTP.
+ *
+ * @author banyanstile contributors
+ */
+class OperatorServerTests {
+
+	private static final RolloutTimes TIMES = new RolloutTimes(Duration.ofMillis(200), Duration.ofMillis(100),
+			Duration.ofMillis(5));
+
+	private final FakeTableStore table = new FakeTableStore();
+
+	private final FakeFleet fleet = new FakeFleet();
+
+	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+	private final RolloutService service = RolloutService.create(VmId.of("a"),
+			ConfigurationStore.create(this.table, this.table, this.table::nextId), this.fleet, (version, content) -> {
+			}, Ticker.system(), TIMES);
+
+	private HttpClient client;
+
+	private OperatorServer server;
+
+	@BeforeEach
+	void start() {
+		this.client = HttpClient.create(1);
+		this.server = OperatorServer.start(new InetSocketAddress("127.0.0.1", 0), OperatorToken.hash("secret"),
+				this.service,
+				() -> new VmStatus("a", "lima-a", "live", true, "", 1, 5, 0, 1, 2, 3, 3, List.of("team/1")),
+				() -> new BurnReport("a", 1, List.of()), this.registry);
+	}
+
+	@AfterEach
+	void stop() {
+		this.server.close();
+		this.client.close();
+	}
+
+	private static String json(int limit) {
+		return ConfigurationJson.write(FleetConfiguration.builder("d")
+			.region(Region.of("r", "a"))
+			.limits(Limits.of(limit, limit, limit))
+			.build());
+	}
+
+	private String send(String method, String path, String token, Map<String, String> headers, String body)
+			throws Exception {
+		HttpRequest request = new HttpRequest(method, "127.0.0.1:" + this.server.port(), path, headers,
+				body.getBytes(StandardCharsets.UTF_8), Duration.ofSeconds(5), false);
+		try (var response = this.client
+			.send((token != null) ? request.withHeader("Authorization", "Bearer " + token) : request)) {
+			return response.status() + " " + response.text(100_000);
+		}
+	}
+
+	private String get(String path) throws Exception {
+		return send("GET", path, "secret", Map.of(), "");
+	}
+
+	private String put(String replaces, String body) throws Exception {
+		return send("PUT", "/operator/v1/config", "secret", Map.of("If-Match", replaces), body);
+	}
+
+	@Test
+	void eachRouteNeedsTheToken() throws Exception {
+		for (String path : List.of("/operator/v1/config", "/operator/v1/config/status", "/operator/v1/status",
+				"/operator/v1/burn", "/metrics", "/other")) {
+			assertThat(send("GET", path, null, Map.of(), ""), startsWith("401 {\"type\":\"unauthorized\""));
+			assertThat(send("GET", path, "Secret", Map.of(), ""), startsWith("401 "));
+		}
+		assertThat(send("PUT", "/operator/v1/config", "", Map.of("If-Match", "0"), json(1)), startsWith("401 "));
+		assertThat(this.service.current().version(), is(0L));
+	}
+
+	@Test
+	void readsStatusBurnAndMetrics() throws Exception {
+		assertThat(get("/operator/v1/status"), startsWith("200 {\"vm\":\"a\",\"dataCentre\":\"lima-a\""));
+		assertThat(get("/operator/v1/burn"), is("200 {\"vm\":\"a\",\"atMillis\":1,\"series\":[]}"));
+		assertThat(get("/other"), startsWith("404 "));
+		put("0", json(1));
+		assertThat(get("/metrics"), containsString("banyanstile_operator_changes_total{result=\"accepted\"} 1.0"));
+	}
+
+	@Test
+	void acceptsAVersionThatAllAcknowledge() throws Exception {
+		assertThat(get("/operator/v1/config/status"), containsString("\"state\":\"none\""));
+		assertThat(put("0", json(1)), is("200 {\"result\":\"accepted\",\"version\":1}"));
+		assertThat(put("\"1\"", json(2)), is("200 {\"result\":\"accepted\",\"version\":2}"));
+		assertThat(get("/operator/v1/config"), containsString("{\"version\":2,\"configuration\":{\"formatVersion\":1"));
+		assertThat(get("/operator/v1/config?version=1"), containsString("\"maxPromptTokens\":1,"));
+		assertThat(get("/operator/v1/config?version=3"), startsWith("404 "));
+		assertThat(get("/operator/v1/config/status"),
+				is("200 {\"version\":2,\"state\":\"accepted\",\"registered\":3,\"acknowledged\":3,\"missing\":[]}"));
+		assertThat(this.fleet.pushed(), is(List.of(1L, 2L)));
+	}
+
+	@Test
+	void reportsStoredWhileAVmIsMissing() throws Exception {
+		this.fleet.freeze(VmId.of("c"));
+		assertThat(put("0", json(1)), startsWith("202 {\"result\":\"stored\",\"version\":1"));
+		assertThat(get("/operator/v1/config/status"), containsString("\"acknowledged\":2,\"missing\":[\"c\"]"));
+	}
+
+	@Test
+	void theLoserOfARaceSeesTheDifference() throws Exception {
+		put("0", json(1));
+		put("1", json(2));
+		String reply = put("1", json(3));
+		assertThat(reply, startsWith("409 {\"result\":\"conflict\",\"version\":2"));
+		assertThat(reply, containsString(
+				"{\"type\":\"changed\",\"path\":\"$.limits.maxPromptTokens\",\"before\":\"2\"," + "\"after\":\"3\"}"));
+	}
+
+	@Test
+	void refusesInvalidRequests() throws Exception {
+		assertThat(put("0", json(0)),
+				containsString("422 {\"result\":\"invalid\",\"version\":0,\"problems\":[{\"file\":"
+						+ "\"request body\",\"path\":\"$.limits."));
+		assertThat(send("PUT", "/operator/v1/config", "secret", Map.of(), json(1)), startsWith("428 "));
+		assertThat(put("latest", json(1)), startsWith("428 "));
+		assertThat(get("/operator/v1/config?version=x"), startsWith("400 "));
+	}
+
+	/**
+	 * Guards against "unavailable" for a version that was stored before its reply was
+	 * lost.
+	 */
+	@Test
+	void aLostReplyOfTheStoreIsResolved() throws Exception {
+		this.table.loseReplies(1);
+		assertThat(put("0", json(1)), is("200 {\"result\":\"accepted\",\"version\":1}"));
+	}
+
+	@Test
+	void anUnresolvedReplyIsUnknown() throws Exception {
+		this.table.loseReplies(Integer.MAX_VALUE);
+		assertThat(put("0", json(1)), startsWith("504 {\"result\":\"unknown\",\"version\":1"));
+	}
+
+	@Test
+	void aStoreThatIsDownIsUnavailable() throws Exception {
+		this.table.setDown(true);
+		assertThat(put("0", json(1)), startsWith("503 {\"result\":\"unavailable\",\"version\":0"));
+		assertThat(get("/operator/v1/config?version=1"), startsWith("503 "));
+	}
+
+	@Test
+	void anotherVmFetchesTheVersionItPolls() throws Exception {
+		put("0", json(1));
+		RolloutService other = RolloutService.create(VmId.of("b"),
+				ConfigurationStore.create(this.table, this.table, this.table::nextId), this.fleet,
+				(version, content) -> {
+				}, Ticker.system(), TIMES);
+		other.registered(Ticker.system().nanos());
+		assertThat(other.isFresh(), is(false));
+		other.poll();
+		assertThat(other.current().version(), is(1L));
+		assertThat(other.isFresh(), is(true));
+		assertThat(other.received(1, json(9)), is(false));
+	}
+
+}
