Release the slots of failed VMs

With 16 slots and 9 VMs nobody takes the slot of a failed VM, so its row stayed as it was: its epoch was never seen to end, and it counted for majorities until the VM list dropped it.

--- a/core/src/main/java/org/banyanstile/core/lease/VmCoordinator.java
+++ b/core/src/main/java/org/banyanstile/core/lease/VmCoordinator.java
@@ -47,6 +47,8 @@
 
 	private final PartitionTable partitions;
 
+	private final ExpiredSlots expired;
+
 	private final StoreSchedule schedule;
 
 	private Issuer issuer = Issuer.POLL;
@@ -65,6 +67,7 @@
 		OperationIds ids = OperationIds.create(this.self, random);
 		this.lease = SlotLease.create(template, slotCount, ids);
 		this.partitions = PartitionTable.create(ids);
+		this.expired = new ExpiredSlots(this.self, ids);
 	}
 
 	/**
@@ -108,6 +111,9 @@
 		if (step == null) {
 			step = issue(Issuer.PARTITIONS, this.partitions.next(now, held(now), this.slots, permitted));
 		}
+		if (step == null) {
+			step = issue(Issuer.EXPIRY, this.expired.next(now, held(now), this.slots, permitted));
+		}
 		return (step != null) ? step : issue(Issuer.POLL, this.schedule.poll(now));
 	}
 
@@ -130,13 +136,7 @@
 			this.gate.contacted(step.sentAt());
 		}
 		if (step instanceof StoreStep.Transact transact) {
-			if (this.issuer == Issuer.LEASE) {
-				this.lease.written(transact, reply, this.slots, now);
-				this.registered.setNamed(this.slots.named());
-			}
-			else {
-				this.partitions.written(transact, reply, this.slots, now);
-			}
+			written(transact, reply, now);
 		}
 		else if (reply instanceof StoreReply.Rows rows) {
 			read(step, rows.rows(), now);
@@ -144,12 +144,23 @@
 		tick(now);
 	}
 
+	private void written(StoreStep.Transact step, StoreReply reply, long now) {
+		switch (this.issuer) {
+			case LEASE -> this.lease.written(step, reply, this.slots, now);
+			case PARTITIONS -> this.partitions.written(step, reply, this.slots, now);
+			default -> this.expired.written(step, reply, this.slots, now);
+		}
+		if (this.issuer != Issuer.PARTITIONS) {
+			this.registered.setNamed(this.slots.named());
+		}
+	}
+
 	private void read(StoreStep step, List<Row> rows, long now) {
 		switch (this.issuer) {
 			case LEASE -> this.lease.readBack(rows, this.slots, now);
 			case PARTITIONS -> this.partitions.readBack(rows, this.slots);
 			case SCAN -> scanned(((StoreStep.Scan) step).prefix(), rows, now);
-			case POLL -> {
+			default -> {
 				this.head = rows.isEmpty() ? null : rows.get(0);
 				this.schedule.polled(this.slots.all().size(), now);
 			}
@@ -357,7 +368,7 @@
 	 */
 	private enum Issuer {
 
-		LEASE, PARTITIONS, SCAN, POLL
+		LEASE, PARTITIONS, EXPIRY, SCAN, POLL
 
 	}
 
--- a/core/src/test/java/org/banyanstile/core/lease/FleetTests.java
+++ b/core/src/test/java/org/banyanstile/core/lease/FleetTests.java
@@ -70,6 +70,8 @@
 		assertThat(taker, not(equalTo(owner)));
 		assertThat(this.fleet.nodes.get(taker).vm.tokenOf("team/0", this.fleet.nodes.get(taker).clock()),
 				greaterThan(before));
+		assertThat("the slot of the failed VM was released, so that its epoch is seen to end",
+				this.fleet.nodes.get(taker).vm.registered().size(), is(2));
 		this.fleet.start(owner);
 		this.fleet.run(30);
 		assertThat("returned to the preferred owner", this.fleet.ownerOf("team/0"), equalTo(owner));
