--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/claim/ClaimResult.java
@@ -0,0 +1,44 @@
+package org.banyanstile.core.claim;
+
+/**
+ * Result of an attempt to claim a call.
+ *
+ * @author banyanstile contributors
+ */
+public sealed interface ClaimResult {
+
+	/**
+	 * This VM holds the claim, must dispatch the call at most once and then complete it.
+	 *
+	 * @param claim the claim
+	 */
+	record Granted(HeldClaim claim) implements ClaimResult {
+
+	}
+
+	/**
+	 * The outcome is known already, or the call cannot be claimed.
+	 *
+	 * @param outcome the outcome
+	 */
+	record Settled(ClaimOutcome outcome) implements ClaimResult {
+
+	}
+
+	/**
+	 * A VM that may be alive runs the call, and can be asked for the outcome.
+	 *
+	 * @param holder the VM, which can be this one
+	 */
+	record Running(ClaimHolder holder) implements ClaimResult {
+
+	}
+
+	/**
+	 * The idempotency key was used with another body.
+	 */
+	record KeyReused() implements ClaimResult {
+
+	}
+
+}
