--- a/core/src/test/java/org/banyanstile/core/limit/FleetSimulation.java
+++ b/core/src/test/java/org/banyanstile/core/limit/FleetSimulation.java
@@ -24,6 +24,12 @@
 
 	static final TeamId TEAM = TeamId.of("team");
 
+	/**
+	 * A request whose caller leaves while the owner is asked, so that the grant stays
+	 * unspent.
+	 */
+	private static final int CANCELLED = 100;
+
 	private static final long STEP = 5 * MILLI;
 
 	final WindowChecker checker = new WindowChecker();
@@ -56,6 +62,10 @@
 
 	private double loadFactor;
 
+	private long renewalsFailUntil;
+
+	private final long[][] stalledUntil;
+
 	FleetSimulation(long seed, int count, TeamLimit limit, double lossFraction, LongFunction<Granter> naive) {
 		this.random = new SplittableRandom(seed);
 		this.limit = limit;
@@ -64,6 +74,7 @@
 		for (int i = 0; i < count; i++) {
 			this.vms.add(new Vm(i, this.random.nextLong(-1_000_000_000_000L, 1_000_000_000_000L), count));
 		}
+		this.stalledUntil = new long[count][count];
 		takeOver(0);
 	}
 
@@ -71,19 +82,16 @@
 	 * Runs the fleet. Quiet phases let buckets and floors fill, floods empty them in less
 	 * than the validity of a grant.
 	 * @param seconds the virtual time to run
-	 * @param freezesPerSecond the rate at which VMs freeze
+	 * @param faultsPerSecond the rate of each kind of fault
 	 */
-	void run(long seconds, double freezesPerSecond) {
+	void run(long seconds, double faultsPerSecond) {
 		double[] factors = { 0, 0, 0.5, 2, 40 };
 		for (; this.now < seconds * 1000 * MILLI; this.now += STEP) {
 			if (this.now >= this.phaseEndsAt) {
 				this.phaseEndsAt = this.now + this.random.nextLong(200 * MILLI, 5_000 * MILLI);
 				this.loadFactor = factors[this.random.nextInt(factors.length)];
 			}
-			if (this.random.nextDouble() < freezesPerSecond * STEP * 1e-9) {
-				Vm vm = this.vms.get(this.random.nextInt(this.vms.size()));
-				vm.frozenUntil = this.now + this.random.nextLong(500 * MILLI, 40_000 * MILLI);
-			}
+			injectFaults(faultsPerSecond * STEP * 1e-9);
 			if (this.now > this.leaseUntil + 1000 * MILLI) {
 				takeOver(this.random.nextInt(this.vms.size()));
 			}
@@ -96,6 +104,20 @@
 		}
 	}
 
+	private void injectFaults(double probability) {
+		int one = this.random.nextInt(this.vms.size());
+		int other = this.random.nextInt(this.vms.size());
+		if (this.random.nextDouble() < probability / 4) {
+			this.vms.get(one).frozenUntil = this.now + this.random.nextLong(500 * MILLI, 30_000 * MILLI);
+		}
+		if (this.random.nextDouble() < probability * 4) {
+			this.stalledUntil[one][other] = this.now + this.random.nextLong(1000 * MILLI, 12_000 * MILLI);
+		}
+		if (this.random.nextDouble() < probability / 4) {
+			this.renewalsFailUntil = this.now + this.random.nextLong(10_000 * MILLI, 30_000 * MILLI);
+		}
+	}
+
 	private void takeOver(int vm) {
 		this.owner = vm;
 		this.token++;
@@ -121,7 +143,7 @@
 		}
 	}
 
-	private void send(Vm to, Runnable action) {
+	private void send(Vm from, Vm to, Runnable action) {
 		if (this.random.nextDouble() >= this.lossFraction) {
 			boolean slow = this.random.nextInt(50) == 0;
 			this.events.add(new Event(this.now + this.random.nextLong(MILLI, (slow ? 4000 : 20) * MILLI), to, action));
@@ -206,13 +228,18 @@
 			for (double left = expected; sim.random.nextDouble() < left; left--) {
 				ask(sim.random.nextLong(1, 400), 3);
 			}
+			if (sim.random.nextInt(100) == 0) {
+				askOwner(GrantRequest.of(TEAM, sim.random.nextLong(1, 800), 0), 0, CANCELLED);
+			}
 		}
 
 		private void heartbeat() {
 			FleetSimulation sim = FleetSimulation.this;
-			if (sim.owner == this.slot && this.owned != null) {
+			if (sim.owner == this.slot && this.owned != null && sim.now >= sim.renewalsFailUntil) {
 				this.ownedUntil = sim.now + 15_000 * MILLI;
 				sim.leaseUntil = this.ownedUntil;
+			}
+			if (this.owned != null) {
 				BitSet unheld = new BitSet();
 				unheld.set(sim.vms.size());
 				this.owned.unheld(unheld, clock(), clock());
@@ -226,7 +253,7 @@
 				long stamp = clock();
 				long echo = (peer == this) ? clock() : this.stampFrom[peer.slot];
 				boolean owner = this.owned != null;
-				sim.send(peer, () -> peer.heard(this, stamp, echo, promise, owner));
+				sim.send(this, peer, () -> peer.heard(this, stamp, echo, promise, owner));
 			}
 		}
 
@@ -245,11 +272,10 @@
 			ReserveResult result = this.limits.reserve(TEAM, cost, clock());
 			if (result instanceof ReserveResult.Reserved reserved) {
 				use(reserved.reservation());
+				return;
 			}
-			else if (result instanceof ReserveResult.GrantNeeded needed && attempts > 0) {
-				Vm peer = FleetSimulation.this.vms.get(this.believedOwner);
-				long sentAt = clock();
-				FleetSimulation.this.send(peer, () -> peer.grantTo(this, needed.request(), sentAt, cost, attempts - 1));
+			if (result instanceof ReserveResult.GrantNeeded needed && attempts > 0) {
+				askOwner(needed.request(), cost, attempts - 1);
 			}
 			if (this.limits.reserveAvailable(TEAM, 1, null, clock()) instanceof ReserveResult.Reserved floor) {
 				FleetSimulation.this.floorUses += (floor.reservation().granted() == 0) ? 1 : 0;
@@ -257,14 +283,22 @@
 			}
 		}
 
+		private void askOwner(GrantRequest request, long cost, int attempts) {
+			Vm peer = FleetSimulation.this.vms.get(this.believedOwner);
+			long sentAt = clock();
+			FleetSimulation.this.send(this, peer, () -> peer.grantTo(this, request, sentAt, cost, attempts));
+		}
+
 		private void grantTo(Vm vm, GrantRequest request, long sentAt, long cost, int attempts) {
 			if (this.owned == null || FleetSimulation.this.now >= this.ownedUntil) {
 				return;
 			}
 			GrantReply reply = this.granter.grant(request, clock());
-			FleetSimulation.this.send(vm, () -> {
+			FleetSimulation.this.send(this, vm, () -> {
 				vm.limits.grantReceived(TEAM, reply, sentAt, vm.clock());
-				vm.ask(cost, attempts);
+				if (attempts != CANCELLED) {
+					vm.ask(cost, attempts);
+				}
 			});
 		}
 
