--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/admission/EndpointSlots.java
@@ -0,0 +1,179 @@
+package org.banyanstile.core.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.banyanstile.core.common.EndpointId;
+import org.banyanstile.core.common.VmId;
+import org.banyanstile.core.routing.Candidate;
+import org.banyanstile.core.routing.ColdStartRamp;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Slots of one decode endpoint. Not safe for use by several threads.
+ *
+ * @author banyanstile contributors
+ */
+final class EndpointSlots {
+
+	private final EndpointId endpoint;
+
+	private final Map<String, Slot> slots = new HashMap<>();
+
+	private Candidate candidate;
+
+	private ColdStartRamp ramp;
+
+	private boolean active = true;
+
+	/**
+	 * Whether the engine's stream list was read, without which the free slots of an
+	 * endpoint are unknown after a change of the owner.
+	 */
+	private boolean listed;
+
+	private @Nullable String reservedFor;
+
+	EndpointSlots(Candidate candidate) {
+		this.endpoint = candidate.endpoint();
+		this.candidate = candidate;
+		this.ramp = ColdStartRamp.warm(candidate.capacity());
+	}
+
+	EndpointId endpoint() {
+		return this.endpoint;
+	}
+
+	void configure(Candidate changed) {
+		this.active = true;
+		if (changed.capacity() != this.candidate.capacity()) {
+			this.candidate = changed;
+			this.ramp = ColdStartRamp.warm(changed.capacity());
+		}
+	}
+
+	void deactivate() {
+		this.active = false;
+	}
+
+	boolean isRemovable() {
+		return !this.active && this.slots.isEmpty();
+	}
+
+	int held() {
+		return this.slots.size();
+	}
+
+	double fill() {
+		return (double) this.slots.size() / this.ramp.allowed();
+	}
+
+	ColdStartRamp ramp() {
+		return this.ramp;
+	}
+
+	boolean isOpen(Set<EndpointId> excluded) {
+		return this.active && this.listed && this.reservedFor == null && this.slots.size() < this.ramp.allowed()
+				&& !excluded.contains(this.endpoint);
+	}
+
+	boolean canReserve(Set<EndpointId> excluded) {
+		return this.active && this.listed && this.reservedFor == null && !excluded.contains(this.endpoint);
+	}
+
+	boolean isReserved() {
+		return this.reservedFor != null;
+	}
+
+	boolean isReservedFor(String requestId) {
+		return requestId.equals(this.reservedFor);
+	}
+
+	void reserve(@Nullable String requestId) {
+		this.reservedFor = requestId;
+	}
+
+	void hold(String requestId, VmId holder, long now, long until) {
+		this.slots.put(requestId, new Slot(holder, now, until));
+	}
+
+	boolean release(String requestId) {
+		if (isReservedFor(requestId)) {
+			this.reservedFor = null;
+		}
+		return this.slots.remove(requestId) != null;
+	}
+
+	boolean isHeld(String requestId) {
+		return this.slots.containsKey(requestId);
+	}
+
+	void renew(String requestId, VmId holder, long until) {
+		Slot slot = this.slots.get(requestId);
+		if (slot != null) {
+			slot.until = until;
+			slot.holder = holder;
+		}
+	}
+
+	void observed(List<ObservedStream> streams, long askedAt, long until) {
+		this.listed = true;
+		for (ObservedStream stream : streams) {
+			Slot slot = this.slots.computeIfAbsent(stream.requestId(),
+					(id) -> new Slot(stream.holder(), askedAt, until));
+			slot.seen = true;
+			slot.until = until;
+			slot.holder = stream.holder();
+		}
+		Set<String> shown = streams.stream().map(ObservedStream::requestId).collect(Collectors.toSet());
+		releaseAll((id, slot) -> slot.seen && slot.since <= askedAt && !shown.contains(id));
+	}
+
+	void expire(long now) {
+		releaseAll((id, slot) -> slot.until <= now);
+	}
+
+	void vmGone(VmId vm) {
+		releaseAll((id, slot) -> !slot.seen && slot.holder.equals(vm));
+	}
+
+	private void releaseAll(SlotCondition condition) {
+		List<String> ended = new ArrayList<>();
+		this.slots.forEach((id, slot) -> {
+			if (condition.test(id, slot)) {
+				ended.add(id);
+			}
+		});
+		ended.forEach(this::release);
+	}
+
+	@FunctionalInterface
+	private interface SlotCondition {
+
+		boolean test(String requestId, Slot slot);
+
+	}
+
+	private static final class Slot {
+
+		private final long since;
+
+		private VmId holder;
+
+		private long until;
+
+		private boolean seen;
+
+		private Slot(VmId holder, long since, long until) {
+			this.holder = holder;
+			this.since = since;
+			this.until = until;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/admission/FairQueue.java
@@ -0,0 +1,157 @@
+package org.banyanstile.core.admission;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+import org.banyanstile.core.common.TeamId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Start-time fair queue of requests across teams, in tokens divided by weight. A team is
+ * charged when a request is served, so refused requests cost it nothing. Not safe for use
+ * by several threads.
+ *
+ * @author banyanstile contributors
+ */
+final class FairQueue {
+
+	/**
+	 * Teams kept without queued requests. A team that is forgotten only loses the record
+	 * of its recent use.
+	 */
+	private static final int MAX_IDLE_TEAMS = 4096;
+
+	private final Map<TeamId, TeamQueue> backlogged = new HashMap<>();
+
+	private final Map<TeamId, Double> idleTags = new HashMap<>();
+
+	private double virtualTime;
+
+	private int size;
+
+	int size() {
+		return this.size;
+	}
+
+	void add(Waiting waiting) {
+		TeamQueue queue = this.backlogged.get(waiting.request().team());
+		if (queue == null) {
+			Double tag = this.idleTags.remove(waiting.request().team());
+			queue = new TeamQueue(Math.max(this.virtualTime, (tag != null) ? tag : 0));
+			this.backlogged.put(waiting.request().team(), queue);
+		}
+		queue.waiting.add(waiting);
+		this.size++;
+	}
+
+	/**
+	 * Removes the next request in fair order.
+	 * @param placeable whether an endpoint is free for the request
+	 * @return the request, null if no team's first request can be placed
+	 */
+	@Nullable
+	Waiting poll(Predicate<SlotRequest> placeable) {
+		TeamQueue best = null;
+		for (TeamQueue queue : this.backlogged.values()) {
+			if ((best == null || queue.tag < best.tag) && placeable.test(queue.waiting.element().request())) {
+				best = queue;
+			}
+		}
+		if (best == null) {
+			return null;
+		}
+		Waiting next = best.waiting.remove();
+		this.size--;
+		this.virtualTime = Math.max(this.virtualTime, best.tag);
+		best.tag += next.request().cost() / next.request().weight();
+		retireIfEmpty(next.request().team(), best);
+		return next;
+	}
+
+	/**
+	 * Estimates how many requests are served before a new one of a team.
+	 * @param request the new request
+	 * @return the number of requests
+	 */
+	int ahead(SlotRequest request) {
+		TeamQueue own = this.backlogged.get(request.team());
+		Double idleTag = this.idleTags.get(request.team());
+		double tag = (own != null) ? own.tag : Math.max(this.virtualTime, (idleTag != null) ? idleTag : 0);
+		if (own != null) {
+			for (Waiting waiting : own.waiting) {
+				tag += waiting.request().cost() / waiting.request().weight();
+			}
+		}
+		int ahead = 0;
+		for (TeamQueue queue : this.backlogged.values()) {
+			double start = queue.tag;
+			for (Waiting waiting : queue.waiting) {
+				if (start > tag) {
+					break;
+				}
+				ahead++;
+				start += waiting.request().cost() / waiting.request().weight();
+			}
+		}
+		return ahead;
+	}
+
+	List<Waiting> removeIf(Predicate<Waiting> condition) {
+		List<Waiting> removed = new ArrayList<>();
+		for (TeamId team : List.copyOf(this.backlogged.keySet())) {
+			TeamQueue queue = this.backlogged.get(team);
+			if (queue == null) {
+				continue;
+			}
+			for (Iterator<Waiting> all = queue.waiting.iterator(); all.hasNext();) {
+				Waiting waiting = all.next();
+				if (condition.test(waiting)) {
+					removed.add(waiting);
+					all.remove();
+					this.size--;
+				}
+			}
+			retireIfEmpty(team, queue);
+		}
+		return removed;
+	}
+
+	private void retireIfEmpty(TeamId team, TeamQueue queue) {
+		if (!queue.waiting.isEmpty()) {
+			return;
+		}
+		this.backlogged.remove(team);
+		this.idleTags.put(team, queue.tag);
+		if (this.idleTags.size() > MAX_IDLE_TEAMS) {
+			this.idleTags.values().removeIf((tag) -> tag <= this.virtualTime);
+		}
+	}
+
+	/**
+	 * Request in the queue.
+	 *
+	 * @param request the request
+	 * @param refuseAt the time at which it is refused
+	 */
+	record Waiting(SlotRequest request, long refuseAt) {
+	}
+
+	private static final class TeamQueue {
+
+		private final Deque<Waiting> waiting = new ArrayDeque<>();
+
+		private double tag;
+
+		private TeamQueue(double tag) {
+			this.tag = tag;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/admission/SlotBroker.java
@@ -0,0 +1,385 @@
+package org.banyanstile.core.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.banyanstile.core.common.EndpointId;
+import org.banyanstile.core.common.VmId;
+import org.banyanstile.core.routing.Candidate;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Grants the decode slots of one pool at its owner. Every method that can free or use a
+ * slot returns the decisions that follow, for any request. Safe for use by several
+ * threads.
+ *
+ * @author banyanstile contributors
+ */
+public final class SlotBroker {
+
+	/**
+	 * Validity of a slot that the engine's stream list does not show: prefill and
+	 * transfer take under a second, and a failed VM is noticed after 15 s.
+	 */
+	public static final long SLOT_NANOS = TimeUnit.SECONDS.toNanos(15);
+
+	/**
+	 * Requests by which the endpoint with the cached prefix may exceed the least loaded
+	 * one. More would cost more waiting than the prefix saves.
+	 */
+	private static final int AFFINITY_BOUND = 2;
+
+	private static final long DEFAULT_RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	private static final long MIN_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+	private static final int MAX_WAITING = 10_000;
+
+	private final Object lock = new Object();
+
+	private final Map<EndpointId, EndpointSlots> endpoints = new LinkedHashMap<>();
+
+	private final Map<String, EndpointSlots> holding = new HashMap<>();
+
+	private final Map<String, FairQueue.Waiting> suspects = new LinkedHashMap<>();
+
+	private final FairQueue queue = new FairQueue();
+
+	private final ReleaseRate releases = new ReleaseRate();
+
+	private SlotBroker() {
+	}
+
+	/**
+	 * Creates the broker of a pool at the time its partition was taken over. No endpoint
+	 * gets work before its stream list was observed.
+	 * @return the broker
+	 */
+	public static SlotBroker takeOver() {
+		return new SlotBroker();
+	}
+
+	/**
+	 * Sets the endpoints that may get new work. Those that are absent are leaving or
+	 * drained: running streams are completed there.
+	 * @param candidates the active endpoints that are not drained
+	 * @param now the current time in nanoseconds
+	 * @return the decisions that follow
+	 */
+	public List<SlotDecision> configure(List<Candidate> candidates, long now) {
+		synchronized (this.lock) {
+			this.endpoints.values().forEach(EndpointSlots::deactivate);
+			for (Candidate candidate : candidates) {
+				this.endpoints.computeIfAbsent(candidate.endpoint(), (id) -> new EndpointSlots(candidate))
+					.configure(candidate);
+			}
+			this.endpoints.values().removeIf(EndpointSlots::isRemovable);
+			return decide(now);
+		}
+	}
+
+	/**
+	 * Requests a slot.
+	 * @param request the request
+	 * @param now the current time in nanoseconds
+	 * @return the decisions that follow; if none is on this request, it waits
+	 */
+	public List<SlotDecision> request(SlotRequest request, long now) {
+		synchronized (this.lock) {
+			EndpointSlots held = this.holding.get(request.requestId());
+			if (held != null && held.isHeld(request.requestId())) {
+				held.renew(request.requestId(), request.holder(), now + SLOT_NANOS);
+				return List.of(new SlotDecision.Granted(request.requestId(), held.endpoint(), SLOT_NANOS));
+			}
+			if (isHopeless(request, now)) {
+				return List.of(new SlotDecision.Refused(request.requestId(), retryAfter(now)));
+			}
+			FairQueue.Waiting waiting = new FairQueue.Waiting(request, now + request.maxWaitNanos());
+			if (request.isolated()) {
+				this.suspects.put(request.requestId(), waiting);
+			}
+			else {
+				this.queue.add(waiting);
+			}
+			return decide(now);
+		}
+	}
+
+	/**
+	 * Releases a slot, or withdraws a waiting request.
+	 * @param requestId the request
+	 * @param outcome the end of its use
+	 * @param now the current time in nanoseconds
+	 * @return the decisions that follow
+	 */
+	public List<SlotDecision> release(String requestId, SlotOutcome outcome, long now) {
+		synchronized (this.lock) {
+			EndpointSlots slots = this.holding.remove(requestId);
+			if (slots == null || !slots.isHeld(requestId)) {
+				this.suspects.remove(requestId);
+				this.queue.removeIf((waiting) -> waiting.request().requestId().equals(requestId));
+				this.endpoints.values().forEach((endpoint) -> endpoint.release(requestId));
+				return decide(now);
+			}
+			if (slots.release(requestId)) {
+				this.releases.released(now);
+				switch (outcome) {
+					case COMPLETED -> slots.ramp().completed();
+					case COMPLETED_LATE -> slots.ramp().completedLate();
+					case FAILED -> failed(slots);
+					case CANCELLED -> {
+					}
+				}
+			}
+			return decide(now);
+		}
+	}
+
+	/**
+	 * Extends the validity of slots whose requests are still in prefill or transfer.
+	 * @param holder the serving VM
+	 * @param requestIds its requests
+	 * @param now the current time in nanoseconds
+	 */
+	public void renew(VmId holder, List<String> requestIds, long now) {
+		synchronized (this.lock) {
+			for (String requestId : requestIds) {
+				EndpointSlots slots = this.holding.get(requestId);
+				if (slots != null) {
+					slots.renew(requestId, holder, now + SLOT_NANOS);
+				}
+			}
+		}
+	}
+
+	/**
+	 * Adopts a slot that the previous owner of the pool granted.
+	 * @param requestId the request
+	 * @param holder the serving VM
+	 * @param endpoint the endpoint
+	 * @param now the current time in nanoseconds
+	 */
+	public void announce(String requestId, VmId holder, EndpointId endpoint, long now) {
+		synchronized (this.lock) {
+			EndpointSlots slots = this.endpoints.get(endpoint);
+			if (slots != null && !slots.isHeld(requestId)) {
+				slots.hold(requestId, holder, now, now + SLOT_NANOS);
+				this.holding.put(requestId, slots);
+			}
+		}
+	}
+
+	/**
+	 * Records the stream list of an engine. Unknown streams take slots, and slots whose
+	 * stream was listed before and is not any more are free.
+	 * @param endpoint the endpoint
+	 * @param streams its streams
+	 * @param askedAt the time before the list was requested
+	 * @param now the current time in nanoseconds
+	 * @return the decisions that follow
+	 */
+	public List<SlotDecision> observed(EndpointId endpoint, List<ObservedStream> streams, long askedAt, long now) {
+		synchronized (this.lock) {
+			EndpointSlots slots = this.endpoints.get(endpoint);
+			if (slots == null) {
+				return List.of();
+			}
+			int before = slots.held();
+			slots.observed(streams, askedAt, now + SLOT_NANOS);
+			streams.forEach((stream) -> this.holding.put(stream.requestId(), slots));
+			for (int freed = before - slots.held(); freed > 0; freed--) {
+				this.releases.released(now);
+			}
+			return decide(now);
+		}
+	}
+
+	/**
+	 * Records evidence that an endpoint is in cold start.
+	 * @param endpoint the endpoint
+	 */
+	public void coldDetected(EndpointId endpoint) {
+		synchronized (this.lock) {
+			EndpointSlots slots = this.endpoints.get(endpoint);
+			if (slots != null) {
+				slots.ramp().coldDetected();
+			}
+		}
+	}
+
+	/**
+	 * Reclaims the slots of a VM that is no longer registered, except those whose stream
+	 * the engine lists, which occupy the engine until they are cancelled there.
+	 * @param vm the VM
+	 * @param now the current time in nanoseconds
+	 * @return the decisions that follow
+	 */
+	public List<SlotDecision> vmGone(VmId vm, long now) {
+		synchronized (this.lock) {
+			this.suspects.values().removeIf((waiting) -> waiting.request().holder().equals(vm));
+			this.queue.removeIf((waiting) -> waiting.request().holder().equals(vm));
+			this.endpoints.values().forEach((slots) -> slots.vmGone(vm));
+			return decide(now);
+		}
+	}
+
+	/**
+	 * Reclaims expired slots and refuses requests that waited too long. Called at least
+	 * every 20 ms while {@link #waiting()} is above 0.
+	 * @param now the current time in nanoseconds
+	 * @return the decisions that follow
+	 */
+	public List<SlotDecision> tick(long now) {
+		synchronized (this.lock) {
+			this.endpoints.values().forEach((slots) -> slots.expire(now));
+			this.holding.entrySet().removeIf((entry) -> !entry.getValue().isHeld(entry.getKey()));
+			this.endpoints.values().removeIf(EndpointSlots::isRemovable);
+			return decide(now);
+		}
+	}
+
+	/**
+	 * Returns the number of waiting requests.
+	 * @return the number
+	 */
+	public int waiting() {
+		synchronized (this.lock) {
+			return this.queue.size() + this.suspects.size();
+		}
+	}
+
+	/**
+	 * Returns the number of slots held at an endpoint.
+	 * @param endpoint the endpoint
+	 * @return the number, 0 for an unknown endpoint
+	 */
+	public int held(EndpointId endpoint) {
+		synchronized (this.lock) {
+			EndpointSlots slots = this.endpoints.get(endpoint);
+			return (slots != null) ? slots.held() : 0;
+		}
+	}
+
+	private static void failed(EndpointSlots slots) {
+		if (slots.ramp().isCold()) {
+			slots.ramp().failed();
+		}
+	}
+
+	private List<SlotDecision> decide(long now) {
+		List<SlotDecision> decisions = new ArrayList<>();
+		refuseLate(now, decisions);
+		placeSuspects(now, decisions);
+		for (FairQueue.Waiting next = poll(); next != null; next = poll()) {
+			EndpointSlots chosen = choose(next.request());
+			if (chosen != null) {
+				grant(next.request(), chosen, now, decisions);
+			}
+		}
+		return decisions;
+	}
+
+	private FairQueue.@Nullable Waiting poll() {
+		if (this.queue.size() == 0 || choose(Set.of(), null) == null) {
+			return null;
+		}
+		return this.queue.poll((request) -> choose(request) != null);
+	}
+
+	private void grant(SlotRequest request, EndpointSlots slots, long now, List<SlotDecision> decisions) {
+		slots.hold(request.requestId(), request.holder(), now, now + SLOT_NANOS);
+		this.holding.put(request.requestId(), slots);
+		decisions.add(new SlotDecision.Granted(request.requestId(), slots.endpoint(), SLOT_NANOS));
+	}
+
+	private @Nullable EndpointSlots choose(SlotRequest request) {
+		return choose(request.excluded(), request.preferred());
+	}
+
+	private @Nullable EndpointSlots choose(Set<EndpointId> excluded, @Nullable EndpointId preferred) {
+		EndpointSlots least = null;
+		for (EndpointSlots slots : this.endpoints.values()) {
+			if (slots.isOpen(excluded) && (least == null || slots.fill() < least.fill())) {
+				least = slots;
+			}
+		}
+		EndpointSlots hinted = (preferred != null) ? this.endpoints.get(preferred) : null;
+		if (least != null && hinted != null && hinted.isOpen(excluded)
+				&& hinted.held() <= least.held() + AFFINITY_BOUND) {
+			return hinted;
+		}
+		return least;
+	}
+
+	private void refuseLate(long now, List<SlotDecision> decisions) {
+		List<FairQueue.Waiting> late = new ArrayList<>(this.queue.removeIf((waiting) -> waiting.refuseAt() <= now));
+		this.suspects.values().stream().filter((waiting) -> waiting.refuseAt() <= now).forEach(late::add);
+		for (FairQueue.Waiting waiting : late) {
+			String requestId = waiting.request().requestId();
+			if (this.suspects.remove(requestId) != null) {
+				this.endpoints.values().forEach((slots) -> slots.release(requestId));
+			}
+			decisions.add(new SlotDecision.Refused(requestId, retryAfter(now)));
+		}
+	}
+
+	private void placeSuspects(long now, List<SlotDecision> decisions) {
+		// An endpoint is emptied for each suspect in turn. At most a quarter of the pool
+		// is used for suspects, so that a crash with many requests in flight does not
+		// stop all other work.
+		for (FairQueue.Waiting waiting : List.copyOf(this.suspects.values())) {
+			EndpointSlots reserved = reservation(waiting.request());
+			if (reserved == null) {
+				return;
+			}
+			if (reserved.held() == 0) {
+				this.suspects.remove(waiting.request().requestId());
+				grant(waiting.request(), reserved, now, decisions);
+			}
+		}
+	}
+
+	private @Nullable EndpointSlots reservation(SlotRequest request) {
+		EndpointSlots best = null;
+		int reserved = 0;
+		for (EndpointSlots slots : this.endpoints.values()) {
+			if (slots.isReservedFor(request.requestId())) {
+				return slots;
+			}
+			reserved += slots.isReserved() ? 1 : 0;
+			if (slots.canReserve(request.excluded()) && (best == null || slots.held() < best.held())) {
+				best = slots;
+			}
+		}
+		if (best == null || reserved >= Math.max(1, this.endpoints.size() / 4)) {
+			return null;
+		}
+		best.reserve(request.requestId());
+		return best;
+	}
+
+	private boolean isHopeless(SlotRequest request, long now) {
+		if (this.endpoints.isEmpty() || this.queue.size() >= MAX_WAITING) {
+			return true;
+		}
+		double rate = this.releases.perNano(now);
+		if (request.isolated() || rate <= 0 || choose(request) != null) {
+			return false;
+		}
+		return (this.queue.ahead(request) + 1) / rate > request.maxWaitNanos();
+	}
+
+	private long retryAfter(long now) {
+		double rate = this.releases.perNano(now);
+		if (rate <= 0) {
+			return DEFAULT_RETRY_NANOS;
+		}
+		return (long) Math.max(MIN_RETRY_NANOS, (this.queue.size() + 1) / rate);
+	}
+
+}
