--- a/core/src/main/java/org/banyanstile/core/admission/EndpointSlots.java
+++ b/core/src/main/java/org/banyanstile/core/admission/EndpointSlots.java
@@ -76,13 +76,16 @@
 		return this.ramp;
 	}
 
+	boolean isUsable(Set<EndpointId> excluded) {
+		return this.active && !excluded.contains(this.endpoint);
+	}
+
 	boolean isOpen(Set<EndpointId> excluded) {
-		return this.active && this.listed && this.reservedFor == null && this.slots.size() < this.ramp.allowed()
-				&& !excluded.contains(this.endpoint);
+		return canReserve(excluded) && this.slots.size() < this.ramp.allowed();
 	}
 
 	boolean canReserve(Set<EndpointId> excluded) {
-		return this.active && this.listed && this.reservedFor == null && !excluded.contains(this.endpoint);
+		return isUsable(excluded) && this.listed && this.reservedFor == null;
 	}
 
 	boolean isReserved() {
--- a/core/src/main/java/org/banyanstile/core/admission/SlotBroker.java
+++ b/core/src/main/java/org/banyanstile/core/admission/SlotBroker.java
@@ -364,7 +364,8 @@
 	}
 
 	private boolean isHopeless(SlotRequest request, long now) {
-		if (this.endpoints.isEmpty() || this.queue.size() >= MAX_WAITING) {
+		boolean possible = this.endpoints.values().stream().anyMatch((slots) -> slots.isUsable(request.excluded()));
+		if (!possible || this.queue.size() >= MAX_WAITING) {
 			return true;
 		}
 		double rate = this.releases.perNano(now);
--- a/core/src/test/java/org/banyanstile/core/limit/TeamLimitsTests.java
+++ b/core/src/test/java/org/banyanstile/core/limit/TeamLimitsTests.java
@@ -1,6 +1,7 @@
 package org.banyanstile.core.limit;
 
 import java.util.BitSet;
+import java.util.List;
 import java.util.Map;
 
 import org.banyanstile.core.common.TeamId;
@@ -163,4 +164,66 @@
 		assertThat(refused, equalTo(0));
 	}
 
+	private long level(long now) {
+		GrantReply all = this.owner.grant(GrantRequest.of(TEAM, 20_001, 20_001), now);
+		long level = 0;
+		for (long step = 8192; all.tokens() == 0 && step > 0; step /= 2) {
+			while (this.owner.grant(GrantRequest.of(TEAM, step, step), now).tokens() > 0) {
+				level += step;
+			}
+		}
+		return level;
+	}
+
+	/**
+	 * Guards against a share that the owner spends while a VM uses its floor: the burst
+	 * of shares without a promise is not the owner's.
+	 */
+	@Test
+	void ownerLeavesTheBurstOfForeignSharesAlone() {
+		BitSet half = new BitSet();
+		half.set(0, SLOTS / 2);
+		for (long now = 0; now <= 30_000 * MILLI; now += 1_000 * MILLI) {
+			this.owner.unheld(half, now, now);
+		}
+		assertThat(level(30_000 * MILLI), equalTo(10_000L));
+	}
+
+	/**
+	 * Guards against a promise counted from its receipt: a paused owner reads it when the
+	 * VM already uses its floor.
+	 */
+	@Test
+	void lateReadPromiseDoesNotCount() {
+		this.owner.promised(1, 0, 4_000 * MILLI);
+		assertThat(this.owner.ownShares(4_000 * MILLI), equalTo(0));
+		this.owner.promised(1, 3_000 * MILLI, 4_000 * MILLI);
+		assertThat(this.owner.ownShares(4_000 * MILLI), equalTo(1));
+		assertThat(this.owner.ownShares(6_000 * MILLI), equalTo(0));
+	}
+
+	/**
+	 * Guards against returned tokens on top of a bucket that was full meanwhile, and
+	 * against a refill for the time in which grants filled the bucket.
+	 */
+	@Test
+	void fullBucketTakesNoReturns() {
+		for (long now = 0; now <= 30_000 * MILLI; now += 1_000 * MILLI) {
+			allSharesOwn(now);
+		}
+		GrantReply grant = this.owner.grant(GrantRequest.of(TEAM, 4_000, 4_000), 30_000 * MILLI);
+		allSharesOwn(31_999 * MILLI);
+		allSharesOwn(32_000 * MILLI);
+		GrantRequest nothing = GrantRequest.of(TEAM, 0, 0);
+		this.owner.grant(nothing, 32_000 * MILLI);
+		allSharesOwn(34_000 * MILLI);
+		this.owner.grant(nothing, 34_000 * MILLI);
+		this.owner.grant(new GrantRequest(TEAM, 0, 0, 4_000, grant.issuedNanos(), 1, List.of()), 34_000 * MILLI);
+		assertThat("full at the grant, refilled since its end", level(34_000 * MILLI), equalTo(20_000L));
+		allSharesOwn(35_000 * MILLI);
+		assertThat("all of it outstanding, so nothing is refilled", level(35_999 * MILLI), equalTo(0L));
+		allSharesOwn(36_250 * MILLI);
+		assertThat("refilled since the grants ended", (double) level(36_250 * MILLI), closeTo(500, 1));
+	}
+
 }
