Stop a VM gracefully in a deployment

Cause: the test of the graceful shutdown needs the VM marked as leaving. Ruled out: removing it from the list at once, which is a failure, not a departure. Change: Deployment.stopVm.

--- a/emulator/src/main/java/org/banyanstile/emulator/process/Deployment.java
+++ b/emulator/src/main/java/org/banyanstile/emulator/process/Deployment.java
@@ -174,6 +174,17 @@
 		list(vm.settings(), "gone");
 	}
 
+	/**
+	 * Asks a VM to shut down and marks it as leaving on the platform's list.
+	 * @param vm the VM
+	 * @throws HttpException if the platform did not accept the change
+	 */
+	public void stopVm(VmNode vm) throws HttpException {
+		this.vms.remove(vm.settings().vm());
+		list(vm.settings(), "leaving");
+		vm.process().terminate();
+	}
+
 	private void list(VmSettings vm, String state) throws HttpException {
 		this.calls.post(this.platform, "/vms/v1/list",
 				Map.of("name", vm.vm(), "address", vm.vmAddress(), "state", state));
