Use the slot broker, crash attribution and once-only claims of core

Cause: pools and claims used provisional code of this module. Ruled out: keeping the local queue next to core.admission. Change: PoolOwner over SlotBroker and CrashAttribution, PoolReconciler for stream lists, orphans and cold starts, FleetClaimService over OnceOnlyClaims, retries from core's RetryBudget. A refused connection no longer counts as a crash, since the request did not run.

--- a/server/src/main/java/org/banyanstile/server/FleetParts.java
+++ b/server/src/main/java/org/banyanstile/server/FleetParts.java
@@ -17,9 +17,12 @@
 import org.banyanstile.config.FleetConfiguration;
 import org.banyanstile.config.VmSettings;
 import org.banyanstile.config.api.VmStatus;
+import org.banyanstile.core.claim.ClaimHolder;
+import org.banyanstile.core.claim.OnceOnlyClaims;
 import org.banyanstile.core.common.DataCentreId;
 import org.banyanstile.core.common.Ticker;
 import org.banyanstile.core.common.VmId;
+import org.banyanstile.core.lease.OperationIds;
 import org.banyanstile.core.lease.SlotRecord;
 import org.banyanstile.core.lease.VmCoordinator;
 import org.banyanstile.core.membership.VmState;
@@ -30,12 +33,14 @@
 import org.banyanstile.server.caller.MemberDirectory;
 import org.banyanstile.server.caller.RunningStreams;
 import org.banyanstile.server.endpoint.EngineClient;
+import org.banyanstile.server.fleet.FleetClaimService;
 import org.banyanstile.server.fleet.FleetSlotSource;
 import org.banyanstile.server.fleet.FleetStreamDirectory;
 import org.banyanstile.server.fleet.FleetTeamLimiter;
 import org.banyanstile.server.fleet.Messenger;
 import org.banyanstile.server.fleet.Partitions;
 import org.banyanstile.server.fleet.PoolOwner;
+import org.banyanstile.server.fleet.PoolReconciler;
 import org.banyanstile.server.operator.RolloutService;
 import org.banyanstile.server.operator.RolloutTimes;
 import org.banyanstile.server.platform.Coordination;
@@ -48,6 +53,7 @@
 import org.banyanstile.server.vm.VmIdentity;
 import org.banyanstile.server.vm.VmMessages;
 import org.banyanstile.server.vm.VmPeers;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Coordination of this VM with the fleet: connections, slot, partitions, configuration,
@@ -91,11 +97,15 @@
 
 	private final PoolOwner pools;
 
+	private final PoolReconciler reconciler;
+
+	private final FleetClaimService claims;
+
 	private final FleetStreamDirectory directory;
 
 	private final RequestParts parts;
 
-	private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(3, FleetParts::thread);
+	private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(4, FleetParts::thread);
 
 	private volatile boolean leaving;
 
@@ -120,13 +130,17 @@
 		Messenger messenger = Messenger.over(this.peers);
 		this.limiter = FleetTeamLimiter.create(this.view, this.view, messenger, settings.vmSlots(), Ticker.system(),
 				this.handlers);
-		this.pools = PoolOwner.create(this.view, this.view, messenger, applied, engine, canceller, Ticker.system(),
-				this.handlers);
+		this.pools = PoolOwner.create(this.view, messenger, applied, Ticker.system(), this.handlers);
+		this.reconciler = new PoolReconciler(this.pools, this.view, this.view, applied, engine, canceller,
+				Ticker.system());
+		this.claims = FleetClaimService.create(OnceOnlyClaims.create(tables, codec,
+				(holder) -> this.coordination.hasEnded(holder.vm(), holder.slot(), holder.epoch()),
+				OperationIds.create(self, random)), this::claimHolder, messenger, this.handlers);
 		this.directory = FleetStreamDirectory.create(this.view, messenger, running, this.handlers);
 		this.parts = new RequestParts(this::mayServe, this.limiter,
 				FleetSlotSource.create(this.view, messenger, applied, this.pools,
 						LocalSlotSource.create(applied, this.view::registeredVms), this.handlers),
-				LocalClaimService.create(), this.directory, this::members);
+				this.claims, this.directory, this::members);
 	}
 
 	private static SlotRecord slot(VmSettings settings) {
@@ -164,7 +178,8 @@
 		repeat(SECOND, this.limiter::update);
 		repeat(SECOND, this.directory::announceAgain);
 		repeat(WAITING_MILLIS, this.pools::expire);
-		repeat(RECONCILE_MILLIS, this.pools::reconcile);
+		repeat(RECONCILE_MILLIS, this.reconciler::reconcile);
+		repeat(SECOND, this.claims::writeRetained);
 	}
 
 	private void repeat(long millis, Runnable task) {
@@ -204,6 +219,12 @@
 		}
 	}
 
+	private @Nullable ClaimHolder claimHolder() {
+		return this.coordination.slot()
+			.map((slot) -> new ClaimHolder(slot.vm(), slot.slot(), slot.epoch()))
+			.orElse(null);
+	}
+
 	private boolean mayServe() {
 		return this.coordination.isServing() && (this.rollout.isFresh() || this.coordination.isOutage());
 	}
--- a/server/src/main/java/org/banyanstile/server/RetryAllowance.java
+++ b/server/src/main/java/org/banyanstile/server/RetryAllowance.java
@@ -1,9 +1,10 @@
 package org.banyanstile.server;
 
+import org.banyanstile.core.admission.RetryBudget;
 import org.banyanstile.server.caller.RetryPermits;
 
 /**
- * Retries as a tenth of the requests, with a small reserve for a quiet VM.
+ * Budget for retries inside this VM: a tenth of its requests.
  *
  * @author banyanstile contributors
  */
@@ -11,22 +12,16 @@
 
 	private static final double SHARE = 0.1;
 
-	private static final double MAX = 10;
-
-	private double permits = MAX;
+	private final RetryBudget budget = RetryBudget.of(SHARE);
 
 	@Override
-	public synchronized void requestStarted() {
-		this.permits = Math.min(MAX, this.permits + SHARE);
+	public void requestStarted() {
+		this.budget.requested();
 	}
 
 	@Override
-	public synchronized boolean tryRetry() {
-		if (this.permits < 1) {
-			return false;
-		}
-		this.permits--;
-		return true;
+	public boolean tryRetry() {
+		return this.budget.tryRetry();
 	}
 
 }
--- a/server/src/main/java/org/banyanstile/server/caller/EngineRun.java
+++ b/server/src/main/java/org/banyanstile/server/caller/EngineRun.java
@@ -1,11 +1,12 @@
 package org.banyanstile.server.caller;
 
 import org.banyanstile.core.common.DataCentreId;
+import org.banyanstile.server.endpoint.EndpointBrokenException;
 import org.banyanstile.server.endpoint.EndpointException;
 import org.banyanstile.server.endpoint.EndpointRefusedException;
 import org.banyanstile.server.endpoint.Prefill;
 import org.banyanstile.server.endpoint.PrefillCall;
-import org.banyanstile.server.endpoint.TransferStalledException;
+import org.banyanstile.server.endpoint.StreamLostException;
 
 /**
  * One attempt to run a request on engines: a decode slot first, then prefill, then the
@@ -169,10 +170,11 @@
 	 * @return the outcome for its slot
 	 */
 	static SlotOutcome outcome(EndpointException ex) {
-		if (ex instanceof EndpointRefusedException || ex instanceof TransferStalledException) {
-			return SlotOutcome.FAILED;
+		if (ex instanceof EndpointBrokenException || ex instanceof StreamLostException) {
+			return SlotOutcome.BROKEN;
 		}
-		return SlotOutcome.BROKEN;
+		// A refused connection shows that the request did not run, so it caused no crash.
+		return SlotOutcome.FAILED;
 	}
 
 }
--- a/server/src/main/java/org/banyanstile/server/caller/ServiceDispatch.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ServiceDispatch.java
@@ -140,6 +140,10 @@
 			outcome = (answer.status() < 500) ? SlotOutcome.COMPLETED : SlotOutcome.FAILED;
 			return answer;
 		}
+		catch (EndpointUnreachableException ex) {
+			outcome = SlotOutcome.FAILED;
+			throw ex;
+		}
 		finally {
 			this.services.slots().release(slot, outcome);
 		}
--- a/server/src/main/java/org/banyanstile/server/fleet/FleetSlotSource.java
+++ b/server/src/main/java/org/banyanstile/server/fleet/FleetSlotSource.java
@@ -100,6 +100,9 @@
 
 	@Override
 	public SlotDecision acquire(SlotDemand demand) {
+		if (this.ownPools.isRefused(demand.team(), demand.fingerprint())) {
+			return new SlotDecision.Crashing();
+		}
 		VmId owner = this.ownership.ownerOf(demand.pool().partition());
 		SlotReply reply = (owner != null) ? ask(owner, demand) : null;
 		if (reply == null || SlotReply.NOT_READY.equals(reply.refusal())) {
--- a/server/src/main/java/org/banyanstile/server/fleet/Messenger.java
+++ b/server/src/main/java/org/banyanstile/server/fleet/Messenger.java
@@ -34,6 +34,12 @@
 	 */
 	boolean send(VmId vm, Record message);
 
+	/**
+	 * Sends a message without reply to all connected VMs.
+	 * @param message the message
+	 */
+	void sendToAll(Record message);
+
 	/**
 	 * Returns a messenger over the connections of this VM.
 	 * @param peers the connections
@@ -51,6 +57,11 @@
 			public boolean send(VmId vm, Record message) {
 				return peers.send(vm, message);
 			}
+
+			@Override
+			public void sendToAll(Record message) {
+				peers.sendToAll(message);
+			}
 		};
 	}
 
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/fleet/OwnedPool.java
@@ -0,0 +1,144 @@
+package org.banyanstile.server.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+
+import org.banyanstile.core.admission.SlotBroker;
+import org.banyanstile.core.admission.SlotDecision;
+import org.banyanstile.core.common.EndpointId;
+import org.banyanstile.core.common.TeamId;
+import org.banyanstile.core.common.VmId;
+import org.banyanstile.core.routing.CrashAttribution;
+import org.banyanstile.core.routing.CrashAttribution.Fingerprint;
+import org.banyanstile.server.caller.SlotOutcome;
+import org.banyanstile.server.vm.SlotReply;
+import org.banyanstile.server.vm.SlotRequest;
+
+/**
+ * A pool that this VM owns: its broker, and the requests that wait for a decision.
+ *
+ * @author banyanstile contributors
+ */
+final class OwnedPool {
+
+	private final String name;
+
+	private final long token;
+
+	private final SlotBroker broker = SlotBroker.takeOver();
+
+	private final CrashAttribution attribution;
+
+	private final InFlight flights;
+
+	private final Map<String, Waiting> waiting = new ConcurrentHashMap<>();
+
+	private volatile boolean ready;
+
+	OwnedPool(String name, long token, CrashAttribution attribution) {
+		this.name = name;
+		this.token = token;
+		this.attribution = attribution;
+		this.flights = new InFlight(attribution);
+	}
+
+	long token() {
+		return this.token;
+	}
+
+	SlotBroker broker() {
+		return this.broker;
+	}
+
+	boolean isReady() {
+		return this.ready;
+	}
+
+	void setReady() {
+		this.ready = true;
+	}
+
+	List<Answer> request(VmId from, SlotRequest request, int weight, long now) {
+		Fingerprint fingerprint = new Fingerprint(TeamId.of(request.team()), request.fingerprint());
+		if (this.attribution.isRefused(fingerprint, now)) {
+			return List.of(new Answer(from, refusal(request.requestId(), SlotReply.CRASHES, 0)));
+		}
+		boolean isolated = this.attribution.isSuspect(fingerprint, now);
+		this.waiting.put(request.requestId(), new Waiting(from, fingerprint, isolated));
+		return answers(this.broker.request(new org.banyanstile.core.admission.SlotRequest(request.requestId(), from,
+				TeamId.of(request.team()), weight, request.cost(), request.deadlineMillis() * 1_000_000, isolated, null,
+				request.excluded().stream().map(EndpointId::of).collect(Collectors.toSet())), now));
+	}
+
+	/**
+	 * Turns decisions into replies.
+	 * @param decisions decisions of the broker
+	 * @return the replies to send
+	 */
+	List<Answer> answers(List<SlotDecision> decisions) {
+		List<Answer> answers = new ArrayList<>();
+		for (SlotDecision decision : decisions) {
+			Waiting request = this.waiting.remove(decision.requestId());
+			if (request == null) {
+				continue;
+			}
+			if (decision instanceof SlotDecision.Granted granted) {
+				this.flights.started(granted.endpoint(), granted.requestId(), request.fingerprint(),
+						request.isolated());
+				answers.add(new Answer(request.vm(),
+						new SlotReply(this.name, granted.requestId(), granted.endpoint().name(), null, 0)));
+			}
+			else if (decision instanceof SlotDecision.Refused refused) {
+				answers.add(new Answer(request.vm(),
+						refusal(refused.requestId(), SlotReply.OVERLOADED, refused.retryAfterNanos() / 1_000_000)));
+			}
+		}
+		return answers;
+	}
+
+	List<Answer> release(String requestId, SlotOutcome outcome, long now) {
+		this.waiting.remove(requestId);
+		return answers(this.broker.release(requestId, switch (outcome) {
+			case COMPLETED -> org.banyanstile.core.admission.SlotOutcome.COMPLETED;
+			case CANCELLED -> org.banyanstile.core.admission.SlotOutcome.CANCELLED;
+			case FAILED, BROKEN -> org.banyanstile.core.admission.SlotOutcome.FAILED;
+		}, now));
+	}
+
+	Optional<Fingerprint> ended(String requestId, String endpoint, SlotOutcome outcome, long now) {
+		return endpoint.isEmpty() ? Optional.empty()
+				: this.flights.ended(EndpointId.of(endpoint), requestId, outcome, now);
+	}
+
+	private SlotReply refusal(String requestId, String reason, long retryAfterMillis) {
+		return new SlotReply(this.name, requestId, null, reason, retryAfterMillis);
+	}
+
+	/**
+	 * A reply to send.
+	 *
+	 * @param vm the receiver
+	 * @param reply the reply
+	 * @author banyanstile contributors
+	 */
+	record Answer(VmId vm, SlotReply reply) {
+
+	}
+
+	/**
+	 * A request that waits for a decision.
+	 *
+	 * @param vm the VM that asks
+	 * @param fingerprint its fingerprint
+	 * @param isolated whether it must run alone
+	 * @author banyanstile contributors
+	 */
+	private record Waiting(VmId vm, Fingerprint fingerprint, boolean isolated) {
+
+	}
+
+}
--- a/server/src/main/java/org/banyanstile/server/fleet/PoolOwner.java
+++ b/server/src/main/java/org/banyanstile/server/fleet/PoolOwner.java
@@ -1,24 +1,20 @@
 package org.banyanstile.server.fleet;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
+import org.banyanstile.core.common.EndpointId;
+import org.banyanstile.core.common.TeamId;
 import org.banyanstile.core.common.Ticker;
 import org.banyanstile.core.common.VmId;
+import org.banyanstile.core.routing.CrashAttribution;
+import org.banyanstile.core.routing.CrashAttribution.Fingerprint;
 import org.banyanstile.server.caller.ConfigurationView;
-import org.banyanstile.server.caller.EndpointTarget;
-import org.banyanstile.server.caller.EngineCanceller;
 import org.banyanstile.server.caller.Pool;
-import org.banyanstile.server.caller.PoolRole;
 import org.banyanstile.server.caller.SlotOutcome;
-import org.banyanstile.server.endpoint.EndpointException;
-import org.banyanstile.server.endpoint.EngineClient;
-import org.banyanstile.server.endpoint.EngineStream;
+import org.banyanstile.server.vm.CrashVerdict;
 import org.banyanstile.server.vm.MessageHandlers;
 import org.banyanstile.server.vm.SlotRelease;
 import org.banyanstile.server.vm.SlotRenew;
@@ -27,68 +23,51 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Grants the slots of the pools that this VM owns, and cancels streams whose VM is gone.
+ * Grants the slots of the pools that this VM owns, and attributes crashes.
  *
  * @author banyanstile contributors
  */
 public final class PoolOwner {
 
-	/**
-	 * Time for another VM to take over a stream whose VM is gone.
-	 */
-	private static final long ORPHAN_NANOS = 5_000_000_000L;
-
 	private final Ownership ownership;
 
-	private final SlotView vms;
-
 	private final Messenger messenger;
 
 	private final ConfigurationView configuration;
 
-	private final EngineClient engine;
-
-	private final EngineCanceller canceller;
-
 	private final Ticker ticker;
 
-	private final Map<Pool, Owned> pools = new ConcurrentHashMap<>();
+	private final CrashAttribution attribution;
 
-	private final Map<String, Long> orphans = new ConcurrentHashMap<>();
+	private final Map<Pool, OwnedPool> pools = new ConcurrentHashMap<>();
 
 	private volatile Consumer<SlotReply> ownReplies = (reply) -> {
 	};
 
-	private PoolOwner(Ownership ownership, SlotView vms, Messenger messenger, ConfigurationView configuration,
-			EngineClient engine, EngineCanceller canceller, Ticker ticker) {
+	private PoolOwner(Ownership ownership, Messenger messenger, ConfigurationView configuration, Ticker ticker) {
 		this.ownership = ownership;
-		this.vms = vms;
 		this.messenger = messenger;
 		this.configuration = configuration;
-		this.engine = engine;
-		this.canceller = canceller;
 		this.ticker = ticker;
+		this.attribution = new CrashAttribution();
 	}
 
 	/**
 	 * Creates the owner side and registers its message handlers.
 	 * @param ownership owners of partitions
-	 * @param vms slots of VMs
 	 * @param messenger sends messages
 	 * @param configuration the configuration
-	 * @param engine client for engines
-	 * @param canceller cancels at engines
 	 * @param ticker time source
 	 * @param handlers handlers of incoming messages
 	 * @return the owner side
 	 */
-	public static PoolOwner create(Ownership ownership, SlotView vms, Messenger messenger,
-			ConfigurationView configuration, EngineClient engine, EngineCanceller canceller, Ticker ticker,
-			MessageHandlers handlers) {
-		PoolOwner owner = new PoolOwner(ownership, vms, messenger, configuration, engine, canceller, ticker);
+	public static PoolOwner create(Ownership ownership, Messenger messenger, ConfigurationView configuration,
+			Ticker ticker, MessageHandlers handlers) {
+		PoolOwner owner = new PoolOwner(ownership, messenger, configuration, ticker);
 		handlers.registerInline(SlotRequest.class, owner::request);
 		handlers.registerInline(SlotRelease.class, owner::release);
 		handlers.registerInline(SlotRenew.class, owner::renew);
+		handlers.registerInline(CrashVerdict.class, owner::verdict);
 		return owner;
 	}
 
@@ -102,65 +81,79 @@
 
 	@Nullable
 	Record request(VmId from, SlotRequest request) {
-		Pool pool = Pool.parse(request.pool());
-		PoolSlots slots = ready(pool);
-		if (slots == null) {
-			send(List.of(new PoolSlots.Answer(from,
+		OwnedPool pool = owned(Pool.parse(request.pool()));
+		if (pool == null || !pool.isReady()) {
+			send(List.of(new OwnedPool.Answer(from,
 					new SlotReply(request.pool(), request.requestId(), null, SlotReply.NOT_READY, 0))));
 			return null;
 		}
-		long now = this.ticker.nanos();
-		SlotWait waiting = new SlotWait(from, request, this.configuration.current().weightOf(request.team()),
-				now + request.deadlineMillis() * 1_000_000);
-		send(slots.request(waiting, targets(pool), now));
+		send(pool.request(from, request, this.configuration.current().weightOf(request.team()), this.ticker.nanos()));
 		return null;
 	}
 
 	@Nullable
 	Record release(VmId from, SlotRelease release) {
-		Pool pool = Pool.parse(release.pool());
-		PoolSlots slots = ready(pool);
-		if (slots != null) {
-			send(slots.release(release.requestId(), release.endpoint(), SlotOutcome.valueOf(release.outcome()),
-					targets(pool), this.ticker.nanos()));
+		OwnedPool pool = owned(Pool.parse(release.pool()));
+		if (pool == null) {
+			return null;
 		}
+		long now = this.ticker.nanos();
+		SlotOutcome outcome = SlotOutcome.valueOf(release.outcome());
+		pool.ended(release.requestId(), release.endpoint(), outcome, now)
+			.ifPresent((fingerprint) -> this.messenger.sendToAll(new CrashVerdict(
+					fingerprint.team() + "/" + fingerprint.bodyHash(), CrashAttribution.VERDICT_NANOS / 1_000_000)));
+		send(pool.release(release.requestId(), outcome, now));
 		return null;
 	}
 
 	@Nullable
 	Record renew(VmId from, SlotRenew renew) {
-		Owned owned = owned(Pool.parse(renew.pool()));
-		if (owned != null) {
-			owned.slots().renew(renew.requestId(), renew.endpoint(), this.ticker.nanos());
+		OwnedPool pool = owned(Pool.parse(renew.pool()));
+		if (pool != null) {
+			long now = this.ticker.nanos();
+			pool.broker().announce(renew.requestId(), from, EndpointId.of(renew.endpoint()), now);
+			pool.broker().renew(from, List.of(renew.requestId()), now);
 		}
 		return null;
 	}
 
-	private @Nullable PoolSlots ready(Pool pool) {
-		Owned owned = owned(pool);
-		return (owned != null && owned.ready().get()) ? owned.slots() : null;
+	private @Nullable Record verdict(VmId from, CrashVerdict verdict) {
+		String[] parts = verdict.fingerprint().split("/", 2);
+		if (parts.length == 2) {
+			this.attribution.verdictReceived(new Fingerprint(TeamId.of(parts[0]), parts[1]),
+					this.ticker.nanos() + verdict.expiresMillis() * 1_000_000);
+		}
+		return null;
 	}
 
-	private @Nullable Owned owned(Pool pool) {
+	/**
+	 * Returns whether a request is known to crash endpoints.
+	 * @param team the team
+	 * @param fingerprint hash of team and body
+	 * @return whether it is refused
+	 */
+	boolean isRefused(TeamId team, String fingerprint) {
+		return this.attribution.isRefused(new Fingerprint(team, fingerprint), this.ticker.nanos());
+	}
+
+	/**
+	 * Returns a pool if this VM owns it now.
+	 * @param pool the pool
+	 * @return its state, or {@code null}
+	 */
+	@Nullable
+	OwnedPool owned(Pool pool) {
 		long token = this.ownership.tokenOf(pool.partition());
 		if (token == 0) {
 			this.pools.remove(pool);
 			return null;
 		}
 		return this.pools.compute(pool, (same, current) -> (current != null && current.token() == token) ? current
-				: new Owned(token, new PoolSlots(pool.name()), new AtomicBoolean()));
+				: new OwnedPool(pool.name(), token, this.attribution));
 	}
 
-	private List<EndpointTarget> targets(Pool pool) {
-		return this.configuration.current()
-			.endpoints()
-			.stream()
-			.filter((target) -> target.active() && target.pool().equals(pool))
-			.toList();
-	}
-
-	private void send(List<PoolSlots.Answer> answers) {
-		for (PoolSlots.Answer answer : answers) {
+	void send(List<OwnedPool.Answer> answers) {
+		for (OwnedPool.Answer answer : answers) {
 			if (answer.vm().equals(this.ownership.self())) {
 				this.ownReplies.accept(answer.reply());
 			}
@@ -171,86 +164,10 @@
 	}
 
 	/**
-	 * Refuses requests that have waited long enough. Call it every 50 ms.
+	 * Refuses requests that have waited long enough. Call it every 20 ms.
 	 */
 	public void expire() {
-		this.pools.forEach((pool, owned) -> send(owned.slots().dispatch(targets(pool), this.ticker.nanos())));
-	}
-
-	/**
-	 * Lists the streams of the owned endpoints: rebuilds the slots of a pool that was
-	 * taken over, and cancels streams whose VM is no longer registered. Call it every 2
-	 * s.
-	 */
-	public void reconcile() {
-		Set<Pool> all = new HashSet<>();
-		this.configuration.current().endpoints().forEach((target) -> all.add(target.pool()));
-		Set<String> seen = new HashSet<>();
-		for (Pool pool : all) {
-			Owned owned = owned(pool);
-			if (owned != null) {
-				if (pool.role() == PoolRole.DECODE) {
-					decodeTargets(pool).forEach((target) -> reconcile(target, owned.slots(), seen));
-				}
-				owned.ready().set(true);
-			}
-		}
-		this.orphans.keySet().retainAll(seen);
-	}
-
-	private List<EndpointTarget> decodeTargets(Pool pool) {
-		return this.configuration.current()
-			.endpoints()
-			.stream()
-			.filter((target) -> target.pool().equals(pool))
-			.toList();
-	}
-
-	private void reconcile(EndpointTarget target, PoolSlots slots, Set<String> seen) {
-		try {
-			for (EngineStream stream : this.engine.streams(target.address())) {
-				if (isOrphan(stream)) {
-					cancelOrphan(target, stream, seen);
-				}
-				else {
-					slots.renew(stream.requestId(), target.id().name(), this.ticker.nanos());
-				}
-			}
-			if (this.engine.load(target.address()).cold()) {
-				slots.cold(target.id().name());
-			}
-		}
-		catch (EndpointException ex) {
-			// An endpoint that does not answer is noticed by the requests sent to it.
-		}
-	}
-
-	private boolean isOrphan(EngineStream stream) {
-		String vm = stream.holder().replaceAll("/.*", "");
-		return !vm.equals(this.ownership.self().name())
-				&& this.vms.holders().stream().noneMatch((holder) -> holder.name().equals(vm));
-	}
-
-	private void cancelOrphan(EndpointTarget target, EngineStream stream, Set<String> seen) {
-		String key = target.id() + "/" + stream.requestId();
-		seen.add(key);
-		long now = this.ticker.nanos();
-		long since = this.orphans.computeIfAbsent(key, (same) -> now);
-		if (now - since >= ORPHAN_NANOS) {
-			this.canceller.cancel(target.address(), stream.requestId());
-		}
-	}
-
-	/**
-	 * State of an owned pool.
-	 *
-	 * @param token fencing token of the ownership
-	 * @param slots the slots
-	 * @param ready whether the streams of the endpoints were listed
-	 * @author banyanstile contributors
-	 */
-	private record Owned(long token, PoolSlots slots, AtomicBoolean ready) {
-
+		this.pools.values().forEach((pool) -> send(pool.answers(pool.broker().tick(this.ticker.nanos()))));
 	}
 
 }
--- a/server/src/main/java/org/banyanstile/server/vm/ClaimReply.java
+++ b/server/src/main/java/org/banyanstile/server/vm/ClaimReply.java
@@ -5,11 +5,13 @@
 /**
  * Reply to {@link ClaimQuery}.
  *
- * @param state state of the claim as in its row, or {@code running}, or {@code absent}
+ * @param state {@code running}, {@code answered}, {@code refused}, {@code not_run} or
+ * {@code unknown}
  * @param status status code of the answer, 0 if there is none
+ * @param contentType media type of the answer, or {@code null}
  * @param body body of the answer, or {@code null}
  * @author banyanstile contributors
  */
-public record ClaimReply(String state, int status, @Nullable String body) {
+public record ClaimReply(String state, int status, @Nullable String contentType, @Nullable String body) {
 
 }
