Test that a late write cannot take the head back

Cause: a trial without conditions on the second write was not caught by aLateWriteTakesNoEffectAfterTheSecondOne, because no later version existed. Change: the test stores version 2 before the late write of version 1 arrives.

--- a/core/src/test/java/org/banyanstile/core/rollout/ConfigurationStoreTests.java
+++ b/core/src/test/java/org/banyanstile/core/rollout/ConfigurationStoreTests.java
@@ -74,15 +74,16 @@
 	}
 
 	/**
-	 * Guards against two versions from one request when the first write was only late.
+	 * Guards against a late first write that takes the head back behind a later version.
 	 */
 	@Test
 	void aLateWriteTakesNoEffectAfterTheSecondOne() throws Exception {
 		this.table.failNext(Fault.NONE, Fault.DELAYED);
 		assertThat(this.store.commit(0, "a"), is(committed(1)));
+		assertThat(this.store.commit(1, "b"), is(committed(2)));
 		this.table.applyDelayed();
-		assertThat(this.store.head(), is(1L));
-		assertThat(versions(), is(1));
+		assertThat(this.store.head(), is(2L));
+		assertThat(versions(), is(2));
 	}
 
 	/**
