Report burn by window from the counters of core.burn

Cause: core.burn counts totals of four windows on the monotonic clock; the first form of the message wanted buckets aligned in Unix time, which nothing provides. Ruled out: a second set of ring buffers in the daemon; it would count the same requests twice. Plots over time; one bar a window with stacked causes shows the same distinction of sudden and lasting faults, and totals of several VMs add up without comparing their clocks. Change: BurnSeries holds the requests and causes of one window, BurnCountersSource converts BurnCounters, and the page has one row and one plot a group. Conclusion: the daemon has to count into BurnCounters and pass BurnCountersSource to OperatorServer.

--- a/config/src/main/java/org/banyanstile/config/api/BurnSeries.java
+++ b/config/src/main/java/org/banyanstile/config/api/BurnSeries.java
@@ -1,29 +1,32 @@
 package org.banyanstile.config.api;
 
-import java.util.List;
+import java.util.Map;
 
 /**
  * Counts of one team, route and data centre over one window.
  *
  * @param window the window
- * @param team name of the team, empty on open routes
+ * @param team name of the team
  * @param route model, or name of the plain service
- * @param dataCentre data centre of the endpoint, or of the VM if none was chosen
- * @param buckets buckets with at least one request, in order of time
+ * @param dataCentre data centre that served the request
+ * @param requests requests that ended in the window
+ * @param causes how many of them used up error budget, by cause; absent means 0
  * @author banyanstile contributors
  */
-public record BurnSeries(BurnWindow window, String team, String route, String dataCentre, List<BurnBucket> buckets) {
+public record BurnSeries(BurnWindow window, String team, String route, String dataCentre, long requests,
+		Map<BurnCause, Long> causes) {
 
 	/**
-	 * Copies the list.
+	 * Copies the map.
 	 * @param window the window
 	 * @param team name of the team
 	 * @param route model or plain service
 	 * @param dataCentre the data centre
-	 * @param buckets the buckets
+	 * @param requests requests that ended in the window
+	 * @param causes how many of them used up error budget
 	 */
 	public BurnSeries {
-		buckets = List.copyOf(buckets);
+		causes = Map.copyOf(causes);
 	}
 
 }
--- a/config/src/main/java/org/banyanstile/config/api/BurnWindow.java
+++ b/config/src/main/java/org/banyanstile/config/api/BurnWindow.java
@@ -3,8 +3,9 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 
 /**
- * Window over which the use of error budget is shown. Its buckets start at multiples of
- * the bucket length in Unix time, so that buckets of several VMs can be added up.
+ * Window over which the use of error budget is shown. Each ends at the time of the
+ * report. A high rate in the short windows is a sudden fault, one in the long windows a
+ * lasting one.
  *
  * @author banyanstile contributors
  */
@@ -14,36 +15,30 @@
 	 * Five minutes.
 	 */
 	@JsonProperty("5m")
-	FIVE_MINUTES("5 min", 300_000, 10_000),
+	FIVE_MINUTES("5 min"),
 
 	/**
 	 * One hour.
 	 */
 	@JsonProperty("1h")
-	ONE_HOUR("1 h", 3_600_000, 60_000),
+	ONE_HOUR("1 h"),
 
 	/**
 	 * Six hours.
 	 */
 	@JsonProperty("6h")
-	SIX_HOURS("6 h", 21_600_000, 600_000),
+	SIX_HOURS("6 h"),
 
 	/**
 	 * Three days.
 	 */
 	@JsonProperty("3d")
-	THREE_DAYS("3 days", 259_200_000, 3_600_000);
+	THREE_DAYS("3 days");
 
 	private final String label;
 
-	private final long millis;
-
-	private final long bucketMillis;
-
-	BurnWindow(String label, long millis, long bucketMillis) {
+	BurnWindow(String label) {
 		this.label = label;
-		this.millis = millis;
-		this.bucketMillis = bucketMillis;
 	}
 
 	/**
@@ -54,20 +49,4 @@
 		return this.label;
 	}
 
-	/**
-	 * Returns the length of the window.
-	 * @return the length in milliseconds
-	 */
-	public long millis() {
-		return this.millis;
-	}
-
-	/**
-	 * Returns the length of a bucket.
-	 * @return the length in milliseconds
-	 */
-	public long bucketMillis() {
-		return this.bucketMillis;
-	}
-
 }
--- a/server/src/test/java/org/banyanstile/server/operator/OperatorServerTests.java
+++ b/server/src/test/java/org/banyanstile/server/operator/OperatorServerTests.java
@@ -2,19 +2,27 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.banyanstile.config.FleetConfiguration;
 import org.banyanstile.config.Limits;
 import org.banyanstile.config.Region;
+import org.banyanstile.config.api.BurnCause;
 import org.banyanstile.config.api.BurnReport;
 import org.banyanstile.config.api.VmStatus;
 import org.banyanstile.config.json.ConfigurationJson;
 import org.banyanstile.config.key.OperatorToken;
+import org.banyanstile.core.burn.BurnCounters;
+import org.banyanstile.core.burn.BurnKey;
+import org.banyanstile.core.burn.Cause;
+import org.banyanstile.core.common.DataCentreId;
+import org.banyanstile.core.common.TeamId;
 import org.banyanstile.core.common.Ticker;
 import org.banyanstile.core.common.VmId;
 import org.banyanstile.core.rollout.ConfigurationStore;
@@ -26,6 +34,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
@@ -113,6 +122,23 @@
 		assertThat(get("/metrics"), containsString("banyanstile_operator_changes_total{result=\"accepted\"} 1.0"));
 	}
 
+	/**
+	 * Guards against a window or cause of the counters without a form for operators.
+	 */
+	@Test
+	void burnCountersHaveAFormForEachWindowAndCause() {
+		BurnCounters counters = BurnCounters.create(10);
+		BurnKey key = new BurnKey(TeamId.of("t"), "draft-writer", DataCentreId.of("lima-a"));
+		for (Cause cause : Cause.values()) {
+			counters.bad(key, cause, 1);
+		}
+		counters.good(key, 1);
+		BurnReport report = BurnCountersSource.create(VmId.of("a"), counters, () -> 2, Clock.systemUTC()).report();
+		assertThat(report.series(), hasSize(4));
+		assertThat(report.series().get(3).requests(), is(6L));
+		assertThat(report.series().get(3).causes().keySet(), is(Set.of(BurnCause.values())));
+	}
+
 	@Test
 	void acceptsAVersionThatAllAcknowledge() throws Exception {
 		assertThat(get("/operator/v1/config/status"), containsString("\"state\":\"none\""));
--- a/tools/src/main/java/org/banyanstile/tools/burn/BurnLine.java
+++ b/tools/src/main/java/org/banyanstile/tools/burn/BurnLine.java
@@ -1,11 +1,11 @@
 package org.banyanstile.tools.burn;
 
-import java.util.List;
+import java.util.EnumMap;
 import java.util.Map;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
-import org.banyanstile.config.api.BurnBucket;
 import org.banyanstile.config.api.BurnCause;
+import org.banyanstile.config.api.BurnSeries;
 import org.banyanstile.config.api.BurnWindow;
 import org.jspecify.annotations.Nullable;
 
@@ -20,35 +20,43 @@
  * @param causes how many of them used up error budget, by cause
  * @param burnRate the highest burn rate of a cause
  * @param worst the cause with that rate, {@code null} if none occurred
- * @param buckets the counts over time
  * @author banyanstile contributors
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
 public record BurnLine(BurnWindow window, BurnDimension dimension, String name, long requests,
-		Map<BurnCause, Long> causes, double burnRate, @Nullable BurnCause worst, List<BurnBucket> buckets) {
+		Map<BurnCause, Long> causes, double burnRate, @Nullable BurnCause worst) {
 
-	static BurnLine of(BurnWindow window, BurnDimension dimension, String name, List<BurnBucket> buckets) {
-		BurnBucket total = buckets.stream().reduce(new BurnBucket(0, 0, Map.of()), BurnBucket::plus);
-		BurnCause worst = null;
-		double rate = 0;
+	static BurnLine of(BurnWindow window, BurnDimension dimension, String name, Iterable<BurnSeries> series) {
+		long total = 0;
+		Map<BurnCause, Long> counts = new EnumMap<>(BurnCause.class);
+		for (BurnSeries each : series) {
+			total += each.requests();
+			each.causes().forEach((cause, n) -> counts.merge(cause, n, Long::sum));
+		}
+		BurnCause most = null;
+		double highest = 0;
 		for (BurnCause cause : BurnCause.values()) {
-			if (rate(total, cause) > rate) {
-				rate = rate(total, cause);
-				worst = cause;
+			double rate = rate(total, counts, cause);
+			if (rate > highest) {
+				highest = rate;
+				most = cause;
 			}
 		}
-		return new BurnLine(window, dimension, name, total.requests(), total.causes(), rate, worst, buckets);
+		return new BurnLine(window, dimension, name, total, counts, highest, most);
 	}
 
 	/**
-	 * Returns the burn rate of a cause in one bucket.
-	 * @param bucket the bucket
+	 * Returns the burn rate of a cause.
 	 * @param cause the cause
-	 * @return the rate, 0 without requests and causes
+	 * @return the rate
 	 */
-	static double rate(BurnBucket bucket, BurnCause cause) {
-		long n = bucket.count(cause);
-		return (n != 0) ? (double) n / Math.max(n, bucket.requests()) / cause.budget() : 0;
+	public double rate(BurnCause cause) {
+		return rate(this.requests, this.causes, cause);
+	}
+
+	private static double rate(long total, Map<BurnCause, Long> counts, BurnCause cause) {
+		long n = counts.getOrDefault(cause, 0L);
+		return (n != 0) ? (double) n / Math.max(n, total) / cause.budget() : 0;
 	}
 
 }
--- a/tools/src/main/java/org/banyanstile/tools/burn/BurnPage.java
+++ b/tools/src/main/java/org/banyanstile/tools/burn/BurnPage.java
@@ -18,15 +18,16 @@
 	 * Groups per table. A fleet can have thousands of teams; the JSON output has them
 	 * all.
 	 */
-	private static final int MAX_LINES = 50;
+	private static final int MAX_GROUPS = 50;
 
 	private static final String STYLE = """
 			body{font:14px system-ui,sans-serif;margin:2em;max-width:75em;color:#222;background:#fff}
 			table{border-collapse:collapse;margin:0 0 2em}
 			th,td{padding:.3em .9em .3em 0;text-align:left;border-bottom:1px solid #ddd;vertical-align:middle}
 			td.n,th.n{text-align:right}
-			tr.over td.n.rate{font-weight:bold}
+			tr.over td:first-child{font-weight:bold}
 			svg{background:#f5f5f5}
+			svg text{font-size:10px;fill:#222}
 			line.one{stroke:#222;stroke-width:1;stroke-dasharray:3 3}
 			.key{display:inline-block;width:.8em;height:.8em;margin-right:.4em}
 			""";
@@ -48,8 +49,8 @@
 	public static String render(BurnSummary summary, List<String> missing) {
 		BurnPage page = new BurnPage(summary);
 		page.addHead(missing);
-		for (BurnWindow window : BurnWindow.values()) {
-			page.addWindow(window);
+		for (BurnDimension dimension : BurnDimension.values()) {
+			page.addTable(dimension, summary.groups(dimension));
 		}
 		return page.html.append("</body></html>\n").toString();
 	}
@@ -81,34 +82,30 @@
 		this.html.append("</ul>");
 	}
 
-	private void addWindow(BurnWindow window) {
-		this.html.append("<h2>Last ").append(window.label()).append("</h2>");
-		for (BurnDimension dimension : BurnDimension.values()) {
-			addTable(dimension, this.summary.lines(window, dimension));
+	private void addTable(BurnDimension dimension, List<BurnGroup> groups) {
+		this.html.append("<table><tr><th>").append(dimension.label()).append("</th>");
+		for (BurnWindow window : BurnWindow.values()) {
+			this.html.append("<th class=\"n\">").append(window.label()).append("</th>");
 		}
-	}
-
-	private void addTable(BurnDimension dimension, List<BurnLine> lines) {
-		this.html.append("<table><tr><th>")
-			.append(dimension.label())
-			.append("</th><th class=\"n\">Requests</th><th class=\"n\">Burn rate</th><th>Over time</th>")
-			.append("<th>Used up by</th></tr>");
-		lines.stream().limit(MAX_LINES).forEach(this::addRow);
+		this.html.append("<th>Burn rate</th><th>Used up by</th></tr>");
+		groups.stream().limit(MAX_GROUPS).forEach(this::addRow);
 		this.html.append("</table>");
-		if (lines.size() > MAX_LINES) {
-			this.html.append("<p>").append(lines.size() - MAX_LINES).append(" more with lower burn rates.</p>");
+		if (groups.size() > MAX_GROUPS) {
+			this.html.append("<p>").append(groups.size() - MAX_GROUPS).append(" more with lower burn rates.</p>");
 		}
 	}
 
-	private void addRow(BurnLine line) {
-		this.html.append((line.burnRate() > 1) ? "<tr class=\"over\"><td>" : "<tr><td>")
-			.append(escape(line.name()))
-			.append("</td><td class=\"n\">")
-			.append(line.requests())
-			.append(String.format(Locale.ROOT, "</td><td class=\"n rate\">%.2f</td><td>", line.burnRate()))
-			.append(BurnPlot.render(line, this.summary.atMillis()))
+	private void addRow(BurnGroup group) {
+		this.html.append((group.worst().burnRate() > 1) ? "<tr class=\"over\"><td>" : "<tr><td>")
+			.append(escape(group.name()))
+			.append("</td>");
+		for (BurnWindow window : BurnWindow.values()) {
+			this.html.append("<td class=\"n\">").append(BurnTable.rate(group, window)).append("</td>");
+		}
+		this.html.append("<td>")
+			.append(BurnPlot.render(group))
 			.append("</td><td>")
-			.append(escape(BurnTable.causes(line)))
+			.append(escape(BurnTable.causes(group.worst())))
 			.append("</td></tr>");
 	}
 
--- a/tools/src/main/java/org/banyanstile/tools/burn/BurnSummary.java
+++ b/tools/src/main/java/org/banyanstile/tools/burn/BurnSummary.java
@@ -2,12 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
-import org.banyanstile.config.api.BurnBucket;
 import org.banyanstile.config.api.BurnReport;
 import org.banyanstile.config.api.BurnSeries;
 import org.banyanstile.config.api.BurnWindow;
@@ -23,12 +23,12 @@
 
 	private final long atMillis;
 
-	private final List<BurnLine> lines;
+	private final List<BurnGroup> groups;
 
-	private BurnSummary(List<String> vms, long atMillis, List<BurnLine> lines) {
+	private BurnSummary(List<String> vms, long atMillis, List<BurnGroup> groups) {
 		this.vms = vms;
 		this.atMillis = atMillis;
-		this.lines = lines;
+		this.groups = groups;
 	}
 
 	/**
@@ -39,39 +39,31 @@
 	public static BurnSummary of(List<BurnReport> reports) {
 		Map<String, BurnReport> byVm = new LinkedHashMap<>();
 		reports.forEach((report) -> byVm.put(report.vm(), report));
-		long at = byVm.values().stream().mapToLong(BurnReport::atMillis).max().orElse(0);
-		List<BurnLine> lines = new ArrayList<>();
-		for (BurnWindow window : BurnWindow.values()) {
-			for (BurnDimension dimension : BurnDimension.values()) {
-				lines.addAll(lines(byVm.values(), window, dimension, at));
-			}
+		List<BurnSeries> series = byVm.values().stream().flatMap((report) -> report.series().stream()).toList();
+		List<BurnGroup> groups = new ArrayList<>();
+		for (BurnDimension dimension : BurnDimension.values()) {
+			groups.addAll(groups(dimension, series));
 		}
-		return new BurnSummary(List.copyOf(byVm.keySet()), at, List.copyOf(lines));
-	}
-
-	private static List<BurnLine> lines(Iterable<BurnReport> reports, BurnWindow window, BurnDimension dimension,
-			long at) {
-		Map<String, TreeMap<Long, BurnBucket>> groups = new TreeMap<>();
-		for (BurnReport report : reports) {
-			for (BurnSeries series : report.series()) {
-				if (series.window() == window) {
-					add(groups.computeIfAbsent(dimension.nameOf(series), (name) -> new TreeMap<>()), series, at);
-				}
-			}
-		}
-		return groups.entrySet()
-			.stream()
-			.map((group) -> BurnLine.of(window, dimension, group.getKey(), List.copyOf(group.getValue().values())))
-			.sorted(Comparator.comparingDouble(BurnLine::burnRate).reversed().thenComparing(BurnLine::name))
-			.toList();
+		long at = byVm.values().stream().mapToLong(BurnReport::atMillis).max().orElse(0);
+		return new BurnSummary(List.copyOf(byVm.keySet()), at, List.copyOf(groups));
 	}
 
-	private static void add(Map<Long, BurnBucket> sum, BurnSeries series, long at) {
-		for (BurnBucket bucket : series.buckets()) {
-			if (bucket.startMillis() + series.window().bucketMillis() > at - series.window().millis()) {
-				sum.merge(bucket.startMillis(), bucket, BurnBucket::plus);
-			}
+	private static List<BurnGroup> groups(BurnDimension dimension, List<BurnSeries> series) {
+		Map<String, Map<BurnWindow, List<BurnSeries>>> byName = new TreeMap<>();
+		for (BurnSeries each : series) {
+			byName.computeIfAbsent(dimension.nameOf(each), (name) -> new EnumMap<>(BurnWindow.class))
+				.computeIfAbsent(each.window(), (window) -> new ArrayList<>())
+				.add(each);
 		}
+		List<BurnGroup> groups = new ArrayList<>();
+		byName.forEach((name,
+				windows) -> groups.add(new BurnGroup(dimension, name,
+						windows.entrySet()
+							.stream()
+							.map((entry) -> BurnLine.of(entry.getKey(), dimension, name, entry.getValue()))
+							.toList())));
+		groups.sort(Comparator.comparingDouble((BurnGroup group) -> group.worst().burnRate()).reversed());
+		return groups;
 	}
 
 	/**
@@ -91,15 +83,16 @@
 	}
 
 	/**
-	 * Returns all groups, within a window and dimension the highest burn rate first.
+	 * Returns all groups in all windows, within a dimension the group with the highest
+	 * burn rate first.
 	 * @return the groups
 	 */
 	public List<BurnLine> lines() {
-		return this.lines;
+		return this.groups.stream().flatMap((group) -> group.lines().stream()).toList();
 	}
 
-	List<BurnLine> lines(BurnWindow window, BurnDimension dimension) {
-		return this.lines.stream().filter((line) -> line.window() == window && line.dimension() == dimension).toList();
+	List<BurnGroup> groups(BurnDimension dimension) {
+		return this.groups.stream().filter((group) -> group.dimension() == dimension).toList();
 	}
 
 }
