--- a/server/src/main/java/org/banyanstile/server/Daemon.java
+++ b/server/src/main/java/org/banyanstile/server/Daemon.java
@@ -1,6 +1,7 @@
 package org.banyanstile.server;
 
 import java.io.IOException;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
@@ -11,8 +12,10 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.banyanstile.config.VmSettings;
+import org.banyanstile.core.burn.BurnCounters;
 import org.banyanstile.core.common.DataCentreId;
 import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.common.VmId;
 import org.banyanstile.io.http.HttpClient;
 import org.banyanstile.server.caller.AnswerMemory;
 import org.banyanstile.server.caller.CallWatch;
@@ -24,6 +27,7 @@
 import org.banyanstile.server.caller.RunningStreams;
 import org.banyanstile.server.endpoint.EngineClient;
 import org.banyanstile.server.endpoint.ServiceClient;
+import org.banyanstile.server.operator.BurnCountersSource;
 import org.banyanstile.server.operator.OperatorServer;
 import org.jspecify.annotations.Nullable;
 
@@ -38,6 +42,8 @@
 
 	private static final long ANSWER_BYTES = 16L * 1024 * 1024;
 
+	private static final int MAX_BURN_SERIES = 10_000;
+
 	private static final long POLL_MILLIS = 20;
 
 	private static final Logger logger = LogManager.getLogger(Daemon.class);
@@ -48,6 +54,8 @@
 
 	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
+	private final BurnCounters burn = BurnCounters.create(MAX_BURN_SERIES);
+
 	private final HttpClient http = HttpClient.create(2);
 
 	private final RunningStreams running = new RunningStreams();
@@ -82,7 +90,8 @@
 			parts.start();
 			this.operators = OperatorServer.start(Addresses.parse(settings.operatorAddress()),
 					settings.operatorTokenHash(), parts.rollout(), () -> parts.status(this.callers.running()),
-					new BurnCounts(settings.vm()), this.registry);
+					BurnCountersSource.create(VmId.of(settings.vm()), this.burn, Ticker.system(), Clock.systemUTC()),
+					this.registry);
 		}
 		else {
 			this.operators = null;
@@ -134,7 +143,7 @@
 				parts.limiter(), parts.slots(), parts.claims(), parts.directory(), new RetryAllowance(), this.engine,
 				ServiceClient.create(this.http), this.canceller, this.running,
 				AnswerMemory.create(ANSWER_RETENTION, ANSWER_BYTES, Ticker.system()), this.watch,
-				RequestMetrics.create(this.registry));
+				RequestMetrics.create(this.registry, this.burn, Ticker.system()));
 	}
 
 	/**
@@ -166,7 +175,11 @@
 		}
 		long windowEnd = System.nanoTime() + this.settings.shutdownWindow().toNanos();
 		try {
-			while (System.nanoTime() < windowEnd || this.callers.running() > 0) {
+			while (System.nanoTime() < windowEnd) {
+				Thread.sleep(POLL_MILLIS);
+			}
+			this.callers.refuseNew();
+			while (this.callers.running() > 0) {
 				Thread.sleep(POLL_MILLIS);
 			}
 		}
--- a/server/src/main/java/org/banyanstile/server/caller/CallerServer.java
+++ b/server/src/main/java/org/banyanstile/server/caller/CallerServer.java
@@ -53,6 +53,8 @@
 
 	private final AtomicInteger running = new AtomicInteger();
 
+	private volatile boolean refusing;
+
 	private @Nullable Undertow server;
 
 	private CallerServer(RequestServices services, MemberDirectory members, int workers) {
@@ -108,6 +110,13 @@
 		return this.running.get();
 	}
 
+	/**
+	 * Refuses new requests from now on; running ones go on.
+	 */
+	public void refuseNew() {
+		this.refusing = true;
+	}
+
 	private void handle(HttpServerExchange exchange) {
 		if (exchange.getRequestPath().equals("/v1/vms") && exchange.getRequestMethod().equals(Methods.GET)) {
 			exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
@@ -116,11 +125,12 @@
 					.wrap(CallerJson.write(Map.of("vms", this.members.members(), "validForSeconds", VALID_SECONDS))));
 			return;
 		}
-		if (!this.workers.tryAcquire()) {
+		this.running.incrementAndGet();
+		if (this.refusing || !this.workers.tryAcquire()) {
 			refuse(exchange);
+			this.running.decrementAndGet();
 			return;
 		}
-		this.running.incrementAndGet();
 		exchange.dispatch(() -> {
 			try {
 				work(exchange);
@@ -132,8 +142,9 @@
 		});
 	}
 
-	private static void refuse(HttpServerExchange exchange) {
-		RequestException ex = RequestException.notRun(ErrorType.OVERLOADED, "this VM has no free worker", RETRY_MILLIS);
+	private void refuse(HttpServerExchange exchange) {
+		RequestException ex = this.refusing ? RequestException.notRun(ErrorType.NOT_SERVING, "this VM shuts down", 0)
+				: RequestException.notRun(ErrorType.OVERLOADED, "this VM has no free worker", RETRY_MILLIS);
 		exchange.setStatusCode(ex.status());
 		exchange.setPersistent(false);
 		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
--- a/server/src/main/java/org/banyanstile/server/caller/RequestLabels.java
+++ b/server/src/main/java/org/banyanstile/server/caller/RequestLabels.java
@@ -1,6 +1,10 @@
 package org.banyanstile.server.caller;
 
 import io.micrometer.core.instrument.Tags;
+import org.banyanstile.core.burn.BurnCounters;
+import org.banyanstile.core.burn.BurnKey;
+import org.banyanstile.core.common.DataCentreId;
+import org.banyanstile.core.common.TeamId;
 
 /**
  * Labels of the counters of a request.
@@ -12,6 +16,20 @@
  */
 public record RequestLabels(String team, String route, String dataCentre) {
 
+	/**
+	 * Team of a request on an open route.
+	 */
+	static final String NO_TEAM = "-";
+
+	/**
+	 * Returns the series of the error budget.
+	 * @return the series, the common one for requests without a team
+	 */
+	BurnKey burnKey() {
+		return this.team.equals(NO_TEAM) ? BurnCounters.OTHER
+				: new BurnKey(TeamId.of(this.team), this.route, DataCentreId.of(this.dataCentre));
+	}
+
 	/**
 	 * Returns the labels as meter tags.
 	 * @return the tags
--- a/server/src/main/java/org/banyanstile/server/caller/RequestMetrics.java
+++ b/server/src/main/java/org/banyanstile/server/caller/RequestMetrics.java
@@ -1,9 +1,15 @@
 package org.banyanstile.server.caller;
 
 import java.time.Duration;
+import java.util.Locale;
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
+import org.banyanstile.core.burn.BurnCounters;
+import org.banyanstile.core.burn.BurnKey;
+import org.banyanstile.core.burn.Cause;
+import org.banyanstile.core.common.Ticker;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Counters and timers of every decision about a request.
@@ -18,17 +24,25 @@
 
 	private final MeterRegistry registry;
 
-	private RequestMetrics(MeterRegistry registry) {
+	private final BurnCounters burn;
+
+	private final Ticker ticker;
+
+	private RequestMetrics(MeterRegistry registry, BurnCounters burn, Ticker ticker) {
 		this.registry = registry;
+		this.burn = burn;
+		this.ticker = ticker;
 	}
 
 	/**
 	 * Creates the meters.
 	 * @param registry the registry
+	 * @param burn counters of the error budget
+	 * @param ticker time source of the counters
 	 * @return the meters
 	 */
-	public static RequestMetrics create(MeterRegistry registry) {
-		return new RequestMetrics(registry);
+	public static RequestMetrics create(MeterRegistry registry, BurnCounters burn, Ticker ticker) {
+		return new RequestMetrics(registry, burn, ticker);
 	}
 
 	void accepted(RequestLabels labels) {
@@ -44,15 +58,17 @@
 			.counter("banyanstile.requests.refused",
 					labels.tags().and("type", ex.type().wireName()).and("run", ex.run().wireName()))
 			.increment();
-		if (isServiceFault(ex.type())) {
-			objective(labels, false);
+		Cause cause = cause(ex.type());
+		if (cause != null) {
+			objective(labels, cause);
 		}
 	}
 
-	private static boolean isServiceFault(ErrorType type) {
+	private static @Nullable Cause cause(ErrorType type) {
 		return switch (type) {
-			case OVERLOADED, NOT_SERVING, STORE_UNAVAILABLE, OUTCOME_UNKNOWN, STREAM_LOST -> true;
-			default -> false;
+			case OVERLOADED, NOT_SERVING, STORE_UNAVAILABLE -> Cause.REFUSED_WITHIN_RATE;
+			case OUTCOME_UNKNOWN, STREAM_LOST -> Cause.LOST_ANSWER;
+			default -> null;
 		};
 	}
 
@@ -63,11 +79,29 @@
 	 * @param meanGapNanos mean time between tokens
 	 */
 	void answeredInTime(RequestLabels labels, long firstTokenNanos, long meanGapNanos) {
-		objective(labels, firstTokenNanos <= FIRST_TOKEN_TARGET_NANOS && meanGapNanos <= INTER_TOKEN_TARGET_NANOS);
+		if (firstTokenNanos > FIRST_TOKEN_TARGET_NANOS) {
+			objective(labels, Cause.LATE_FIRST_TOKEN);
+		}
+		else {
+			objective(labels, (meanGapNanos > INTER_TOKEN_TARGET_NANOS) ? Cause.SLOW_DECODE : null);
+		}
 	}
 
-	void objective(RequestLabels labels, boolean met) {
-		this.registry.counter("banyanstile.objective", labels.tags().and("result", met ? "met" : "missed")).increment();
+	/**
+	 * Counts a request against the error budget.
+	 * @param labels the labels
+	 * @param missed why it missed its objective, or {@code null} if it met it
+	 */
+	void objective(RequestLabels labels, @Nullable Cause missed) {
+		String result = (missed != null) ? missed.name().toLowerCase(Locale.ROOT) : "met";
+		this.registry.counter("banyanstile.objective", labels.tags().and("result", result)).increment();
+		BurnKey key = labels.burnKey();
+		if (missed != null) {
+			this.burn.bad(key, missed, this.ticker.nanos());
+		}
+		else {
+			this.burn.good(key, this.ticker.nanos());
+		}
 	}
 
 	void superseded(RequestLabels labels) {
--- a/server/src/main/java/org/banyanstile/server/caller/ServiceHandler.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ServiceHandler.java
@@ -48,7 +48,7 @@
 		try {
 			StoredAnswer answer = answer(request, caller, route, labels);
 			this.services.metrics().answered(labels);
-			this.services.metrics().objective(labels, true);
+			this.services.metrics().objective(labels, null);
 			String type = (answer.contentType() != null) ? answer.contentType() : "application/octet-stream";
 			writer.send(answer.status(), type, answer.body().getBytes(StandardCharsets.UTF_8));
 		}
--- a/server/src/main/java/org/banyanstile/server/fleet/FleetStreamDirectory.java
+++ b/server/src/main/java/org/banyanstile/server/fleet/FleetStreamDirectory.java
@@ -64,9 +64,10 @@
 	public static FleetStreamDirectory create(Ownership ownership, Messenger messenger, RunningStreams running,
 			MessageHandlers handlers) {
 		FleetStreamDirectory directory = new FleetStreamDirectory(ownership, messenger, running);
-		handlers.register(StreamLookup.class, directory::lookUp);
-		handlers.register(StreamAnnounce.class, directory::announced);
-		handlers.register(StreamWithdraw.class, directory::withdrawn);
+		// Inline, because workers could handle a withdrawal before the announcement.
+		handlers.registerInline(StreamLookup.class, directory::lookUp);
+		handlers.registerInline(StreamAnnounce.class, directory::announced);
+		handlers.registerInline(StreamWithdraw.class, directory::withdrawn);
 		handlers.register(StreamTakeover.class, directory::surrender);
 		return directory;
 	}
--- a/server/src/main/java/org/banyanstile/server/fleet/OwnedPool.java
+++ b/server/src/main/java/org/banyanstile/server/fleet/OwnedPool.java
@@ -69,9 +69,23 @@
 		}
 		boolean isolated = this.attribution.isSuspect(fingerprint, now);
 		this.waiting.put(request.requestId(), new Waiting(from, fingerprint, isolated));
-		return answers(this.broker.request(new org.banyanstile.core.admission.SlotRequest(request.requestId(), from,
-				TeamId.of(request.team()), weight, request.cost(), request.deadlineMillis() * 1_000_000, isolated, null,
-				request.excluded().stream().map(EndpointId::of).collect(Collectors.toSet())), now));
+		// The broker refuses a request whose wait is over before it looks for a slot.
+		long waitNanos = Math.max(1, request.deadlineMillis() * 1_000_000);
+		List<Answer> answers = new ArrayList<>(
+				answers(this.broker.request(demand(from, request, weight, waitNanos, isolated), now)));
+		if (request.deadlineMillis() == 0 && this.waiting.remove(request.requestId()) != null) {
+			answers.addAll(answers(this.broker.release(request.requestId(),
+					org.banyanstile.core.admission.SlotOutcome.CANCELLED, now)));
+			answers.add(new Answer(from, refusal(request.requestId(), SlotReply.OVERLOADED, 0)));
+		}
+		return answers;
+	}
+
+	private static org.banyanstile.core.admission.SlotRequest demand(VmId from, SlotRequest request, int weight,
+			long waitNanos, boolean isolated) {
+		return new org.banyanstile.core.admission.SlotRequest(request.requestId(), from, TeamId.of(request.team()),
+				weight, request.cost(), waitNanos, isolated, null,
+				request.excluded().stream().map(EndpointId::of).collect(Collectors.toSet()));
 	}
 
 	/**
