Hand versions to the rest of the daemon in rising order

Cause: a push and a fetch run in different threads, and the call with the lower version could reach the limits and the reported version last. The slot rows that show this VM can also have been read before it acquired its slot. Ruled out: a check of the version in each receiver; each new one could forget it. Change: RolloutService holds a lock of its own while it calls the sink; the time of registration is not before the first call. Conclusion: receivers may rely on the order.

--- a/server/src/main/java/org/banyanstile/server/operator/ConfigurationSink.java
+++ b/server/src/main/java/org/banyanstile/server/operator/ConfigurationSink.java
@@ -3,8 +3,8 @@
 import org.banyanstile.config.FleetConfiguration;
 
 /**
- * Receives each version that comes into force at this VM. Calls can arrive out of order;
- * a version below an earlier one is to be ignored.
+ * Receives each version that comes into force at this VM, one call at a time, in rising
+ * order of the versions. Must not block on I/O.
  *
  * @author banyanstile contributors
  */
--- a/server/src/main/java/org/banyanstile/server/operator/RolloutService.java
+++ b/server/src/main/java/org/banyanstile/server/operator/RolloutService.java
@@ -52,6 +52,12 @@
 
 	private final VersionHolder<FleetConfiguration> holder = VersionHolder.create();
 
+	/**
+	 * Held while a version is handed to the sink, so that the sink never sees a lower
+	 * version after a higher one.
+	 */
+	private final Object applyLock = new Object();
+
 	private final Object lock = new Object();
 
 	private final Freshness freshness = Freshness.create();
@@ -207,9 +213,12 @@
 	}
 
 	private boolean apply(long version, FleetConfiguration configuration) {
-		boolean applied = this.holder.apply(version, configuration);
-		if (applied) {
-			this.sink.apply(version, configuration);
+		boolean applied;
+		synchronized (this.applyLock) {
+			applied = this.holder.apply(version, configuration);
+			if (applied) {
+				this.sink.apply(version, configuration);
+			}
 		}
 		// Only now the version is in force for requests, so only now it is reported.
 		synchronized (this.lock) {
@@ -242,11 +251,13 @@
 
 	/**
 	 * Records that this VM holds a slot.
-	 * @param at time after the slot row was committed
+	 * @param at time after the slot row was committed; the time of the first call counts
+	 * if it is later, because the rows may have been read before this VM was in them
 	 */
 	public void registered(long at) {
+		long now = this.ticker.nanos();
 		synchronized (this.lock) {
-			this.freshness.registered(at);
+			this.freshness.registered((at - now > 0) ? at : now);
 		}
 	}
 
--- a/server/src/test/java/org/banyanstile/server/operator/OperatorServerTests.java
+++ b/server/src/test/java/org/banyanstile/server/operator/OperatorServerTests.java
@@ -4,9 +4,13 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -217,4 +221,40 @@
 		assertThat(other.received(1, json(9)), is(false));
 	}
 
+	/**
+	 * Guards against limits or a reported version that go back, when a push and a fetch
+	 * are applied by two threads.
+	 */
+	@Test
+	void theSinkSeesVersionsInRisingOrder() throws Exception {
+		CountDownLatch entered = new CountDownLatch(1);
+		CountDownLatch second = new CountDownLatch(1);
+		List<Long> applied = Collections.synchronizedList(new ArrayList<>());
+		RolloutService service = RolloutService.create(VmId.of("b"),
+				ConfigurationStore.create(this.table, this.table, this.table::nextId), this.fleet,
+				(version, content) -> {
+					entered.countDown();
+					if (version == 1) {
+						awaitBriefly(second);
+					}
+					applied.add(version);
+					second.countDown();
+				}, Ticker.system(), TIMES);
+		Thread slow = new Thread(() -> service.received(1, json(1)));
+		slow.start();
+		entered.await();
+		service.received(2, json(2));
+		slow.join();
+		assertThat(applied, is(List.of(1L, 2L)));
+	}
+
+	private static void awaitBriefly(CountDownLatch latch) {
+		try {
+			var unused = latch.await(200, TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 }
