--- a/core/src/main/java/org/banyanstile/core/lease/SlotLease.java
+++ b/core/src/main/java/org/banyanstile/core/lease/SlotLease.java
@@ -124,6 +124,16 @@
 		return this.held != null && this.state != VmState.RELEASED;
 	}
 
+	/**
+	 * Returns whether {@link #check} depends on the outage rule at a time. The rule is
+	 * costly, and a lease that is renewed in time never needs it.
+	 * @param now the current time
+	 * @return whether it does
+	 */
+	boolean needsOutageRule(long now) {
+		return this.held != null && now - this.base >= LEASE_NANOS - 2 * GRACE_NANOS;
+	}
+
 	/**
 	 * Returns the slot as last confirmed. Valid only after {@link #check} returned
 	 * {@code true} at the same time.
--- a/core/src/main/java/org/banyanstile/core/lease/VmCoordinator.java
+++ b/core/src/main/java/org/banyanstile/core/lease/VmCoordinator.java
@@ -89,7 +89,7 @@
 	 */
 	public void tick(long now) {
 		this.quorum.update(now);
-		this.lease.check(now, this.gate.outage(now));
+		checkLease(now);
 	}
 
 	/**
@@ -117,6 +117,10 @@
 		return (step != null) ? step : issue(Issuer.POLL, this.schedule.poll(now));
 	}
 
+	private boolean checkLease(long now) {
+		return this.lease.check(now, this.lease.needsOutageRule(now) && this.gate.outage(now));
+	}
+
 	private @Nullable StoreStep issue(Issuer part, @Nullable StoreStep step) {
 		this.issuer = part;
 		return step;
@@ -282,7 +286,7 @@
 	 * @return the slot, or {@code null} if none is held
 	 */
 	public @Nullable SlotRecord held(long now) {
-		return this.lease.check(now, this.gate.outage(now)) ? this.lease.held() : null;
+		return checkLease(now) ? this.lease.held() : null;
 	}
 
 	/**
--- a/core/src/main/java/org/banyanstile/core/membership/PeerTable.java
+++ b/core/src/main/java/org/banyanstile/core/membership/PeerTable.java
@@ -1,6 +1,5 @@
 package org.banyanstile.core.membership;
 
-import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,9 +31,14 @@
 
 	private static final int REMEMBERED_ROUNDS = 16;
 
+	/**
+	 * Time after which a silent VM is forgotten, since VMs are replaced under new names.
+	 */
+	private static final long FORGET_NANOS = 60_000_000_000L;
+
 	private final Map<VmId, PeerReport> reports = new LinkedHashMap<>();
 
-	private final Map<VmId, Long> sequences = new LinkedHashMap<>();
+	private final Map<VmId, Received> sequences = new LinkedHashMap<>();
 
 	private final long[] sentAt = new long[REMEMBERED_ROUNDS];
 
@@ -64,6 +68,8 @@
 	 */
 	public long beginRound(long now) {
 		this.sentAt[(int) (this.next % REMEMBERED_ROUNDS)] = now;
+		this.reports.values().removeIf((report) -> now - report.receivedAt() > FORGET_NANOS);
+		this.sequences.values().removeIf((received) -> now - received.at() > FORGET_NANOS);
 		return this.next++;
 	}
 
@@ -73,7 +79,8 @@
 	 * @return latest sequence number received from it, 0 if none
 	 */
 	public long echoFor(VmId receiver) {
-		return this.sequences.getOrDefault(receiver, 0L);
+		Received received = this.sequences.get(receiver);
+		return (received != null) ? received.sequence() : 0;
 	}
 
 	/**
@@ -82,7 +89,7 @@
 	 * @param now time of receipt
 	 */
 	public void receive(Heartbeat heartbeat, long now) {
-		this.sequences.put(heartbeat.vm(), heartbeat.sequence());
+		this.sequences.put(heartbeat.vm(), new Received(heartbeat.sequence(), now));
 		long echo = heartbeat.echo();
 		if (echo < this.first || echo >= this.next || echo < this.next - REMEMBERED_ROUNDS) {
 			return;
@@ -115,12 +122,14 @@
 	}
 
 	/**
-	 * Forgets VMs that are no longer known.
-	 * @param known the VMs to retain
+	 * Latest sequence number of a VM.
+	 *
+	 * @param sequence the number
+	 * @param at time of receipt
+	 * @author banyanstile contributors
 	 */
-	public void retain(Collection<VmId> known) {
-		this.reports.keySet().retainAll(known);
-		this.sequences.keySet().retainAll(known);
+	private record Received(long sequence, long at) {
+
 	}
 
 }
--- a/core/src/test/java/org/banyanstile/core/membership/PeerTableTests.java
+++ b/core/src/test/java/org/banyanstile/core/membership/PeerTableTests.java
@@ -50,6 +50,8 @@
 		}
 		assertThat(this.peers.recent(0), empty());
 		assertThat(this.peers.echoFor(B), is(7L));
+		this.peers.beginRound(61 * SECOND);
+		assertThat("a silent VM is forgotten", this.peers.echoFor(B), is(0L));
 	}
 
 	@Test
