--- a/server/src/main/java/org/banyanstile/server/caller/ChatCall.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ChatCall.java
@@ -5,6 +5,7 @@
 
 import org.banyanstile.server.endpoint.EndpointException;
 import org.banyanstile.server.endpoint.EndpointRefusedException;
+import org.banyanstile.server.endpoint.EndpointUnreachableException;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -143,7 +144,7 @@
 
 	private void requireNothingReceived() throws RequestException {
 		if (this.request.lastEventId() >= 0) {
-			throw RequestException.notRun(ErrorType.STREAM_LOST, "the stream that the caller had received is gone");
+			throw RequestException.unknown(ErrorType.STREAM_LOST, "the stream that the caller had received is gone");
 		}
 	}
 
@@ -174,6 +175,7 @@
 	private void attempts(ChatRelay relay) throws RequestException, IOException {
 		long waitUntil = System.nanoTime() + Math.min(SLOT_WAIT_MILLIS, this.request.deadlineMillis()) * 1_000_000;
 		SlotFinder finder = new SlotFinder(this.services, this.request.configuration(), demand());
+		boolean mayHaveRun = false;
 		for (int attempt = 1;; attempt++) {
 			String requestId = this.id + "." + attempt;
 			try {
@@ -182,14 +184,22 @@
 				relay.run(run.prepare(), this.bodyHash);
 				return;
 			}
+			catch (RequestException ex) {
+				throw mayHaveRun ? ex.afterAttempt() : ex;
+			}
 			catch (EndpointException ex) {
 				this.control.check();
-				requireRetry(ex, attempt);
+				mayHaveRun |= mayHaveRun(ex);
+				requireRetry(ex, attempt, mayHaveRun);
 			}
 		}
 	}
 
-	private void requireRetry(EndpointException ex, int attempt) throws RequestException {
+	private static boolean mayHaveRun(EndpointException ex) {
+		return !(ex instanceof EndpointUnreachableException) && !(ex instanceof EndpointRefusedException);
+	}
+
+	private void requireRetry(EndpointException ex, int attempt, boolean mayHaveRun) throws RequestException {
 		if (this.output.hasSentText()) {
 			throw RequestException.unknown(ErrorType.STREAM_LOST, "the engine lost the stream");
 		}
@@ -197,7 +207,9 @@
 			throw RequestException.refusedByEndpoint(refused.status(), String.valueOf(refused.getMessage()));
 		}
 		if (attempt == MAX_ATTEMPTS || !this.services.retries().tryRetry()) {
-			throw RequestException.notRun(ErrorType.OVERLOADED, "no engine completed the request", LOST_RETRY_MILLIS);
+			RequestException failure = RequestException.notRun(ErrorType.OVERLOADED, "no engine completed the request",
+					LOST_RETRY_MILLIS);
+			throw mayHaveRun ? failure.afterAttempt() : failure;
 		}
 		this.services.metrics().retried(this.labels);
 	}
--- a/server/src/main/java/org/banyanstile/server/caller/RequestException.java
+++ b/server/src/main/java/org/banyanstile/server/caller/RequestException.java
@@ -77,6 +77,15 @@
 		return new RequestException(ErrorType.ENDPOINT_REFUSED, RunState.REFUSED_BY_ENDPOINT, status, message, -1);
 	}
 
+	/**
+	 * Returns this error for a request of which an earlier attempt may have run.
+	 * @return the error, which does not state that nothing ran
+	 */
+	RequestException afterAttempt() {
+		return (this.run != RunState.NOT_RUN) ? this : new RequestException(this.type, RunState.UNKNOWN, this.status,
+				String.valueOf(getMessage()), this.retryAfterMillis);
+	}
+
 	/**
 	 * Returns the type.
 	 * @return the type
--- a/server/src/main/java/org/banyanstile/server/caller/ServiceDispatch.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ServiceDispatch.java
@@ -99,36 +99,52 @@
 	 */
 	StoredAnswer repeatable() throws RequestException {
 		this.services.retries().requestStarted();
+		boolean mayHaveRun = false;
 		RequestException failure = null;
 		for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
 			if (failure != null && !this.services.retries().tryRetry()) {
 				break;
 			}
-			SlotDecision.Granted slot = slot();
 			try {
-				ServiceAnswer answer = send(slot);
-				if (answer.status() < 400) {
-					return stored(answer);
-				}
-				failure = OnceOutcomes.refused(stored(answer));
-				if (answer.status() != 429 && answer.status() < 500) {
-					throw failure;
-				}
-			}
-			catch (EndpointUnreachableException ex) {
-				failure = RequestException.notRun(ErrorType.OVERLOADED, "no endpoint accepted a connection",
-						RETRY_MILLIS);
+				return attempt();
 			}
-			catch (EndpointBrokenException ex) {
-				failure = RequestException.unknown(ErrorType.OUTCOME_UNKNOWN, "the endpoint did not answer",
-						RETRY_MILLIS);
+			catch (RequestException ex) {
+				failure = mayHaveRun ? ex.afterAttempt() : ex;
+				mayHaveRun |= ex.run() == RunState.UNKNOWN;
+				if (!isRetryable(ex)) {
+					break;
+				}
 			}
-			this.finder.exclude(slot.endpoint().id());
 			this.services.metrics().retried(this.labels);
 		}
 		throw Objects.requireNonNull(failure);
 	}
 
+	private static boolean isRetryable(RequestException ex) {
+		boolean server = ex.run() == RunState.REFUSED_BY_ENDPOINT && (ex.status() == 429 || ex.status() >= 500);
+		return server || ex.type() == ErrorType.OUTCOME_UNKNOWN || ex.type() == ErrorType.OVERLOADED;
+	}
+
+	private StoredAnswer attempt() throws RequestException {
+		SlotDecision.Granted slot = slot();
+		try {
+			ServiceAnswer answer = send(slot);
+			if (answer.status() < 400) {
+				return stored(answer);
+			}
+			this.finder.exclude(slot.endpoint().id());
+			throw OnceOutcomes.refused(stored(answer));
+		}
+		catch (EndpointUnreachableException ex) {
+			this.finder.exclude(slot.endpoint().id());
+			throw RequestException.notRun(ErrorType.OVERLOADED, "no endpoint accepted a connection", RETRY_MILLIS);
+		}
+		catch (EndpointBrokenException ex) {
+			this.finder.exclude(slot.endpoint().id());
+			throw RequestException.unknown(ErrorType.OUTCOME_UNKNOWN, "the endpoint did not answer", RETRY_MILLIS);
+		}
+	}
+
 	private SlotDecision.Granted slot() throws RequestException {
 		return this.finder.find(PoolRole.SERVICE, this.services.dataCentre(), this.requestId, this.waitMillis);
 	}
--- a/server/src/test/java/org/banyanstile/server/ChatTests.java
+++ b/server/src/test/java/org/banyanstile/server/ChatTests.java
@@ -249,6 +249,38 @@
 		other.close();
 	}
 
+	/**
+	 * Guards against a shutdown that cuts off a running answer.
+	 */
+	@Test
+	void shutdownCompletesARunningAnswer() throws Exception {
+		CountDownLatch released = new CountDownLatch(1);
+		this.decode.decode = (exchange, id, from) -> {
+			FakeEngine.word(exchange, id, 0);
+			released.await();
+			this.decode.answer(exchange, id, 1);
+		};
+		try (HttpResponse response = this.vm.send(this.vm.chat(true))) {
+			assertThat(response.line(1000), is("id: 0"));
+			Thread shutdown = new Thread(this.vm::shutDown);
+			shutdown.start();
+			assertThat(TestVm.await(3000, () -> refused()), is(true));
+			released.countDown();
+			assertThat(TestVm.events(response), is("w0 w1 w2 w3 w4 DONE"));
+			shutdown.join();
+		}
+	}
+
+	private boolean refused() {
+		try {
+			HttpRequest request = HttpRequest.get(this.vm.address(), "/v1/services/none/x").withFreshConnection();
+			return this.vm.send(request).text(1000).contains("\"type\":\"not_serving\"");
+		}
+		catch (HttpException ex) {
+			return false;
+		}
+	}
+
 	@Test
 	void listsTheVmsWithoutAKey() throws Exception {
 		String text = this.vm.send(HttpRequest.get(this.vm.address(), "/v1/vms")).text(1000);
--- a/server/src/test/java/org/banyanstile/server/ServiceTests.java
+++ b/server/src/test/java/org/banyanstile/server/ServiceTests.java
@@ -129,6 +129,19 @@
 		assertThat(calls.get(), is(1));
 	}
 
+	/**
+	 * Guards against a "not run" refusal of a call that the first endpoint may have run.
+	 */
+	@Test
+	void doesNotClaimThatALookupDidNotRun() throws Exception {
+		this.vm.close();
+		this.vm = new TestVm(TestVm.service("s-1", address()), TestVm.service("s-2", "127.0.0.1:1"));
+		this.behaviour = (exchange) -> exchange.getConnection().close();
+		String text = this.vm.send(lookup("")).text(1000);
+		assertThat(this.received, hasSize(1));
+		assertThat(text, containsString("\"run\":\"unknown\""));
+	}
+
 	/**
 	 * Guards against an endpoint that sees a caller's key in a header or the query.
 	 */
--- a/server/src/test/java/org/banyanstile/server/TestVm.java
+++ b/server/src/test/java/org/banyanstile/server/TestVm.java
@@ -44,7 +44,7 @@
 	TestVm(Endpoint... endpoints) {
 		configure(TEAM_KEY, endpoints);
 		VmSettings settings = new VmSettings("vm-1", "dc-a", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0",
-				"http://127.0.0.1:1", "http://127.0.0.1:1", List.of(), "00", "00".repeat(32), 16, 16);
+				"http://127.0.0.1:1", "http://127.0.0.1:1", List.of(), "00", "00".repeat(32), 16, 16, 0);
 		try {
 			this.daemon = Daemon.startAlone(settings, this.configuration);
 		}
@@ -82,6 +82,10 @@
 		return "127.0.0.1:" + this.daemon.callerPort();
 	}
 
+	void shutDown() {
+		this.daemon.shutDown();
+	}
+
 	String metrics() {
 		return this.daemon.metrics();
 	}
