--- a/benchmark/src/main/java/org/banyanstile/benchmark/BrokerSource.java
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/BrokerSource.java
@@ -27,6 +27,8 @@
 
 	private static final long TICK = 20 * Deployment.MILLI;
 
+	private static final long LIST_PERIOD = 2000 * Deployment.MILLI;
+
 	private static final long DRAIN_DELAY = 5000 * Deployment.MILLI;
 
 	private final SlotBroker broker = SlotBroker.takeOver();
@@ -52,6 +54,7 @@
 		engines.forEach((engine) -> this.broker.observed(engine.endpoint, List.of(), 0, 0));
 		events.every(TICK, () -> deliver(this.broker.tick(events.now())));
 		events.every(LOAD_LAG, this::reportLoad);
+		events.every(LIST_PERIOD, this::listStreams);
 		events.every(DRAIN_DELAY, this::configure);
 	}
 
@@ -62,11 +65,13 @@
 			.map((engine) -> engine.candidate)
 			.sorted((a, b) -> a.endpoint().compareTo(b.endpoint()))
 			.toList(), this.events.now()));
+	}
+
+	private void listStreams() {
+		this.messages += this.engines.size();
+		long now = this.events.now();
 		this.engines.values()
-			.stream()
-			.filter((engine) -> engine.active() == 0)
-			.forEach((engine) -> deliver(
-					this.broker.observed(engine.endpoint, List.of(), this.events.now(), this.events.now())));
+			.forEach((engine) -> deliver(this.broker.observed(engine.endpoint, engine.streams(), now, now)));
 	}
 
 	private void reportLoad() {
--- a/benchmark/src/main/java/org/banyanstile/benchmark/FakeEngine.java
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/FakeEngine.java
@@ -1,6 +1,12 @@
 package org.banyanstile.benchmark;
 
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.banyanstile.core.admission.ObservedStream;
 import org.banyanstile.core.common.EndpointId;
+import org.banyanstile.core.common.VmId;
 import org.banyanstile.core.routing.Candidate;
 
 /**
@@ -18,7 +24,7 @@
 
 	final int dataCentre;
 
-	private int active;
+	private final Map<String, ObservedStream> streams = new LinkedHashMap<>();
 
 	private int warmSlots = Deployment.SLOTS;
 
@@ -32,16 +38,16 @@
 		this.dataCentre = index % dataCentres;
 	}
 
-	boolean tryStart() {
-		if (this.active >= this.warmSlots) {
+	boolean tryStart(Job job) {
+		if (this.streams.size() >= this.warmSlots) {
 			return false;
 		}
-		this.active++;
+		this.streams.put(job.id, new ObservedStream(job.id, VmId.of("vm-" + job.vm)));
 		return true;
 	}
 
-	void complete() {
-		this.active--;
+	void complete(Job job) {
+		this.streams.remove(job.id);
 		this.completions++;
 		if (isCold() && this.completions % COMPLETIONS_TO_DOUBLE == 0) {
 			this.warmSlots = Math.min(Deployment.SLOTS, this.warmSlots * 2);
@@ -58,7 +64,11 @@
 	}
 
 	int active() {
-		return this.active;
+		return this.streams.size();
+	}
+
+	List<ObservedStream> streams() {
+		return List.copyOf(this.streams.values());
 	}
 
 	boolean isDrained() {
--- a/benchmark/src/main/java/org/banyanstile/benchmark/PoolComparison.java
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/PoolComparison.java
@@ -19,6 +19,12 @@
 
 	static final long DURATION = 300_000 * Deployment.MILLI;
 
+	/**
+	 * Requests that arrive later may not be answered by the end of the run, so they do
+	 * not count for the shares.
+	 */
+	private static final long LONGEST_ANSWER = 20_000 * Deployment.MILLI;
+
 	private static final int MAX_RETRIES = 3;
 
 	private static final int MAX_ENGINES = 3;
@@ -103,7 +109,7 @@
 			Job job = new Job("r" + this.jobs++, team, this.random.nextInt(this.deployment.vms()),
 					this.random.nextInt(100, 2 * Deployment.MEAN_PROMPT - 100),
 					this.random.nextInt(70, 2 * Deployment.MEAN_OUTPUT - 70), this.events.now());
-			this.offered[team] += job.tokens();
+			this.offered[team] += isCounted(job) ? job.tokens() : 0;
 			this.budget.requested();
 			start(job);
 			arrive(team);
@@ -129,6 +135,10 @@
 		});
 	}
 
+	private static boolean isCounted(Job job) {
+		return job.arrivedAt < DURATION - LONGEST_ANSWER;
+	}
+
 	private static long prefillNanos(Job job) {
 		return Deployment.PREFILL_BASE + job.prompt * Deployment.PREFILL_PER_TOKEN;
 	}
@@ -155,7 +165,7 @@
 		}
 		FakeEngine engine = chosen.get();
 		this.events.after(Deployment.TRANSFER, () -> {
-			if (engine.tryStart()) {
+			if (engine.tryStart(job)) {
 				run(job, engine);
 				return;
 			}
@@ -176,9 +186,9 @@
 		long tokenNanos = Deployment.tokenNanos(engine.active());
 		long firstToken = this.events.now() + tokenNanos - job.arrivedAt;
 		this.events.after(job.output * tokenNanos, () -> {
-			engine.complete();
+			engine.complete(job);
 			this.source.release(job, engine, SlotOutcome.COMPLETED);
-			this.served[job.team] += job.tokens();
+			this.served[job.team] += isCounted(job) ? job.tokens() : 0;
 			if (firstToken <= Deployment.FIRST_TOKEN_TARGET && tokenNanos <= Deployment.TOKEN_TARGET) {
 				this.good++;
 			}
--- a/core/src/main/java/org/banyanstile/core/admission/EndpointSlots.java
+++ b/core/src/main/java/org/banyanstile/core/admission/EndpointSlots.java
@@ -68,6 +68,11 @@
 		return this.slots.size();
 	}
 
+	int free() {
+		return (this.active && this.listed && this.reservedFor == null)
+				? Math.max(0, this.ramp.allowed() - this.slots.size()) : 0;
+	}
+
 	double fill() {
 		return (double) this.slots.size() / this.ramp.allowed();
 	}
--- a/core/src/main/java/org/banyanstile/core/admission/FairQueue.java
+++ b/core/src/main/java/org/banyanstile/core/admission/FairQueue.java
@@ -21,29 +21,59 @@
  */
 final class FairQueue {
 
-	/**
-	 * Teams kept without queued requests. A team that is forgotten only loses the record
-	 * of its recent use.
-	 */
-	private static final int MAX_IDLE_TEAMS = 4096;
-
 	private final Map<TeamId, TeamQueue> backlogged = new HashMap<>();
 
 	private final Map<TeamId, Double> idleTags = new HashMap<>();
 
 	private double virtualTime;
 
+	/**
+	 * How far a team that used less than its share may lag behind the virtual time.
+	 * Without it the share that is not used in a quiet moment is lost, and a team that
+	 * uses its share in bursts gets less than a team that always sends.
+	 */
+	private double credit;
+
 	private int size;
 
 	int size() {
 		return this.size;
 	}
 
+	void credit(double tokens) {
+		this.credit = tokens;
+	}
+
+	/**
+	 * Counts the teams that used the pool lately. Idle teams are forgotten when they have
+	 * their whole credit again.
+	 * @return the number of teams
+	 */
+	int activeTeams() {
+		this.idleTags.values().removeIf((tag) -> tag < this.virtualTime - this.credit);
+		return this.backlogged.size() + this.idleTags.size();
+	}
+
+	/**
+	 * Returns whether a team used less than its share lately.
+	 * @param team the team
+	 * @return true if the team is behind the virtual time
+	 */
+	boolean isBehind(TeamId team) {
+		TeamQueue queue = this.backlogged.get(team);
+		return ((queue != null) ? queue.tag : startTag(this.idleTags.get(team))) < this.virtualTime;
+	}
+
+	private double startTag(@Nullable Double lastTag) {
+		double earliest = this.virtualTime - this.credit;
+		return Math.max(earliest, (lastTag != null) ? lastTag : earliest);
+	}
+
 	void add(Waiting waiting) {
 		TeamQueue queue = this.backlogged.get(waiting.request().team());
 		if (queue == null) {
 			Double tag = this.idleTags.remove(waiting.request().team());
-			queue = new TeamQueue(Math.max(this.virtualTime, (tag != null) ? tag : 0));
+			queue = new TeamQueue(startTag(tag));
 			this.backlogged.put(waiting.request().team(), queue);
 		}
 		queue.waiting.add(waiting);
@@ -81,8 +111,7 @@
 	 */
 	int ahead(SlotRequest request) {
 		TeamQueue own = this.backlogged.get(request.team());
-		Double idleTag = this.idleTags.get(request.team());
-		double tag = (own != null) ? own.tag : Math.max(this.virtualTime, (idleTag != null) ? idleTag : 0);
+		double tag = (own != null) ? own.tag : startTag(this.idleTags.get(request.team()));
 		if (own != null) {
 			for (Waiting waiting : own.waiting) {
 				tag += waiting.request().cost() / waiting.request().weight();
@@ -128,9 +157,6 @@
 		}
 		this.backlogged.remove(team);
 		this.idleTags.put(team, queue.tag);
-		if (this.idleTags.size() > MAX_IDLE_TEAMS) {
-			this.idleTags.values().removeIf((tag) -> tag <= this.virtualTime);
-		}
 	}
 
 	/**
--- a/core/src/main/java/org/banyanstile/core/admission/SlotBroker.java
+++ b/core/src/main/java/org/banyanstile/core/admission/SlotBroker.java
@@ -38,6 +38,8 @@
 
 	private static final long MIN_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+	private static final double MEAN_OVER = 100;
+
 	private static final int MAX_WAITING = 10_000;
 
 	private final Object lock = new Object();
@@ -50,6 +52,8 @@
 
 	private final FairQueue queue = new FairQueue();
 
+	private double meanCost;
+
 	private final ReleaseRate releases = new ReleaseRate();
 
 	private SlotBroker() {
@@ -288,15 +292,38 @@
 		if (this.queue.size() == 0 || choose(Set.of(), null) == null) {
 			return null;
 		}
-		return this.queue.poll((request) -> choose(request) != null);
+		return this.queue.poll((request) -> choose(request) != null && mayUseLastSlots(request));
+	}
+
+	/**
+	 * Returns whether a request may be granted one of the last free slots. They are kept
+	 * for teams that used less than their share: without them such a team waits for the
+	 * next release, which takes longer than the first-token target allows in a small
+	 * pool. Half the square root of the slots covers the fluctuation of their arrivals.
+	 * @param request the request
+	 * @return true if more slots are free, or the team is behind or alone
+	 */
+	private boolean mayUseLastSlots(SlotRequest request) {
+		int free = this.endpoints.values().stream().mapToInt(EndpointSlots::free).sum();
+		return free > Math.sqrt(allowedSlots()) || this.queue.isBehind(request.team()) || this.queue.activeTeams() <= 1;
 	}
 
 	private void grant(SlotRequest request, EndpointSlots slots, long now, List<SlotDecision> decisions) {
 		slots.hold(request.requestId(), request.holder(), now, now + SLOT_NANOS);
+		this.meanCost += (request.cost() - this.meanCost) / MEAN_OVER;
+		this.queue.credit(this.meanCost * allowedSlots() / Math.max(1, this.queue.activeTeams()));
 		this.holding.put(request.requestId(), slots);
 		decisions.add(new SlotDecision.Granted(request.requestId(), slots.endpoint(), SLOT_NANOS));
 	}
 
+	/**
+	 * Returns the slots that the endpoints allow.
+	 * @return the sum over all endpoints
+	 */
+	private int allowedSlots() {
+		return this.endpoints.values().stream().mapToInt((slots) -> slots.ramp().allowed()).sum();
+	}
+
 	private @Nullable EndpointSlots choose(SlotRequest request) {
 		return choose(request.excluded(), request.preferred());
 	}
@@ -372,7 +399,9 @@
 		if (request.isolated() || rate <= 0 || choose(request) != null) {
 			return false;
 		}
-		return (this.queue.ahead(request) + 1) / rate > request.maxWaitNanos();
+		// The next in order waits: the release rate is a mean, and one release is enough.
+		int ahead = this.queue.ahead(request);
+		return request.maxWaitNanos() <= 0 || (ahead > 0 && (ahead + 1) / rate > request.maxWaitNanos());
 	}
 
 	private long retryAfter(long now) {
