--- a/benchmark/src/main/java/org/banyanstile/benchmark/ComparisonMain.java
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/ComparisonMain.java
@@ -23,6 +23,57 @@
 	 */
 	public static void main(String[] args) {
 		PrintStream out = System.out;
+		pools(out);
+		goals(out);
+		limits(out);
+	}
+
+	private static void limits(PrintStream out) {
+		out.printf("%n5 teams of %.0f tokens/s and burst %.0f, 9 VMs, 16 slots%n%n",
+				LimitComparison.LIMIT.tokensPerSecond(), LimitComparison.LIMIT.burstTokens());
+		out.println("| owner | policy | one-VM team refused | others refused | refused while the owner is gone "
+				+ "| flood tokens/s | over-grant | messages/s | bytes/s |");
+		out.println("|---|---|---|---|---|---|---|---|---|");
+		for (boolean ownerFails : new boolean[] { false, true }) {
+			limits(out, ownerFails);
+		}
+	}
+
+	private static void limits(PrintStream out, boolean ownerFails) {
+		for (LimitPolicy policy : LimitPolicy.values()) {
+			LimitResult result = new LimitComparison(policy, 9, ownerFails, SEED).run();
+			out.printf("| %s | %s | %.2f%% | %.2f%% | %.1f%% | %.0f | %.0f | %.1f | %.0f |%n",
+					ownerFails ? "fails" : "stays", policy, 100 * result.oneVmRefused(), 100 * result.evenRefused(),
+					100 * result.outageRefused(), result.floodTokensPerSecond(), result.overGrant(), result.messages(),
+					result.bytes());
+		}
+	}
+
+	private static void goals(PrintStream out) {
+		out.println();
+		for (Deployment deployment : Deployment.all()) {
+			for (Scenario scenario : Scenario.values()) {
+				PoolResult naive = new PoolComparison(deployment, scenario, SlotPolicy.LAGGING_LOAD, SEED).run();
+				PoolResult design = new PoolComparison(deployment, scenario, SlotPolicy.BROKER, SEED).run();
+				String where = deployment.name() + " " + scenario + ": ";
+				double ratio = design.goodPerSecond() / naive.goodPerSecond();
+				double wanted = (scenario == Scenario.PEAK) ? 1.3 : 1;
+				goal(out, where + "goodput over naive", ratio, ratio >= wanted);
+				goal(out, where + "prefills wasted for lack of a slot", design.wastedForLackOfSlot(),
+						design.wastedForLackOfSlot() == 0);
+				goal(out, where + "wasted prefill", design.wastedPrefill(), design.wastedPrefill() < 0.01);
+				if (scenario == Scenario.ONE_TEAM_FIVEFOLD) {
+					goal(out, where + "worst team's share", design.worstTeamShare(), design.worstTeamShare() >= 0.95);
+				}
+			}
+		}
+	}
+
+	private static void goal(PrintStream out, String what, double figure, boolean met) {
+		out.printf("%s %s %.3f%n", met ? "met   " : "MISSED", what, figure);
+	}
+
+	private static void pools(PrintStream out) {
 		out.printf("seed %d, %d s of virtual time a run%n%n", SEED, PoolComparison.DURATION / 1_000_000_000L);
 		out.println("| deployment | scenario | policy | good/s | wasted prefill | of it no slot | worst team | refused "
 				+ "| failed | cold overloads | messages/s |");
--- a/core/src/main/java/org/banyanstile/core/admission/SlotBroker.java
+++ b/core/src/main/java/org/banyanstile/core/admission/SlotBroker.java
@@ -305,7 +305,8 @@
 	 */
 	private boolean mayUseLastSlots(SlotRequest request) {
 		int free = this.endpoints.values().stream().mapToInt(EndpointSlots::free).sum();
-		return free > Math.sqrt(allowedSlots()) || this.queue.isBehind(request.team()) || this.queue.activeTeams() <= 1;
+		return free > Math.sqrt(allowedSlots()) / 2 || this.queue.isBehind(request.team())
+				|| this.queue.activeTeams() <= 1;
 	}
 
 	private void grant(SlotRequest request, EndpointSlots slots, long now, List<SlotDecision> decisions) {
