--- a/server/src/main/java/org/banyanstile/server/vm/MessageHandlers.java
+++ b/server/src/main/java/org/banyanstile/server/vm/MessageHandlers.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.banyanstile.core.common.VmId;
 import org.jspecify.annotations.Nullable;
 
@@ -14,6 +16,8 @@
  */
 public final class MessageHandlers {
 
+	private static final Logger logger = LogManager.getLogger(MessageHandlers.class);
+
 	private final Map<Class<?>, Entry<?>> entries = new ConcurrentHashMap<>();
 
 	/**
@@ -52,6 +56,7 @@
 			return entry.handle(from, message);
 		}
 		catch (RuntimeException ex) {
+			logger.error("handler of {} failed", message.getClass().getSimpleName(), ex);
 			return new Failure(ex.getClass().getSimpleName());
 		}
 	}
