Say that exit code 3 covers an unavailable table service

Cause: in a trial with the table service down, "config apply" ended with 3 and "not stored", which the page did not mention.

--- a/tools/src/main/java/org/banyanstile/tools/Banyanstile.java
+++ b/tools/src/main/java/org/banyanstile/tools/Banyanstile.java
@@ -18,7 +18,8 @@
 	private static final String EXIT_CODES = """
 
 			Exit codes: 0 done; 1 invalid, refused or conflict; 2 wrong command line;
-			3 no VM answered, or the outcome is unknown; 4 stored but not yet accepted.
+			3 a VM or the table service did not answer, or the outcome is unknown;
+			4 stored but not yet accepted.
 			Options go after the command. See docs/operator-cli.md.""";
 
 	private final JCommander root = JCommander.newBuilder()
