Obtain the first configuration from other VMs during a store outage

Cause: a VM that starts while the table service is down has no configuration, and PeerBootstrap was not connected to anything. Ruled out: a message of its own; heartbeats already carry the versions, and the slot rows adopted from peers name the registered VMs. Change: PeerStart chooses with PeerBootstrap from the reported versions, fetches from the chosen VM and applies the result; a reply with a lower version than reported is not applied. PeerFetch is the interface to the connections. Conclusion: the daemon has to call PeerStart.run each second until it returns true, answer ConfigFetch, and pass a PeerFetch over VmPeers.

--- a/server/src/test/java/org/banyanstile/server/operator/FakeFleet.java
+++ b/server/src/test/java/org/banyanstile/server/operator/FakeFleet.java
@@ -25,6 +25,11 @@
 		this.frozen.add(vm);
 	}
 
+	void setVersions(long b, long c) {
+		this.versions.put(VmId.of("b"), b);
+		this.versions.put(VmId.of("c"), c);
+	}
+
 	List<Long> pushed() {
 		return this.pushes;
 	}
--- a/server/src/test/java/org/banyanstile/server/operator/OperatorServerTests.java
+++ b/server/src/test/java/org/banyanstile/server/operator/OperatorServerTests.java
@@ -221,6 +221,28 @@
 		assertThat(other.received(1, json(9)), is(false));
 	}
 
+	/**
+	 * Guards against a VM that starts during a store outage with the version of the first
+	 * peer that answers, although more than half of the VMs may have a later one.
+	 */
+	@Test
+	void aVmThatStartsDuringAnOutageAsksForTheHighestVersionOfAMajority() {
+		this.fleet.freeze(VmId.of("c"));
+		this.fleet.push(1, "");
+		List<VmId> asked = new ArrayList<>();
+		PeerStart start = PeerStart.create(this.service, this.fleet, (vm) -> {
+			asked.add(vm);
+			return new PeerFetch.Fetched(asked.size(), json(asked.size()));
+		});
+		assertThat("one of three VMs has a version", start.run(), is(false));
+		assertThat(asked, hasSize(0));
+		this.fleet.setVersions(2, 1);
+		assertThat("the peer answered with a lower version than it reported", start.run(), is(false));
+		assertThat(start.run(), is(true));
+		assertThat(asked, is(List.of(VmId.of("b"), VmId.of("b"))));
+		assertThat(this.service.current().version(), is(2L));
+	}
+
 	/**
 	 * Guards against limits or a reported version that go back, when a push and a fetch
 	 * are applied by two threads.
