--- /dev/null
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/Meter.java
@@ -0,0 +1,64 @@
+package org.banyanstile.benchmark;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.function.IntConsumer;
+import java.util.function.Supplier;
+
+/**
+ * Measures processor time and memory of work in this process.
+ *
+ * @author banyanstile contributors
+ */
+final class Meter {
+
+	private static final int ROUNDS = 7;
+
+	private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
+	private Meter() {
+	}
+
+	/**
+	 * Measures the processor time of an operation.
+	 * @param count the number of operations a round
+	 * @param operation the operation, given a number that rises over all rounds
+	 * @return the nanoseconds an operation in the best round, the first ones being
+	 * warm-up
+	 */
+	static double nanosPerOperation(int count, IntConsumer operation) {
+		double best = Double.MAX_VALUE;
+		for (int round = 0; round < ROUNDS; round++) {
+			long start = THREADS.getCurrentThreadCpuTime();
+			for (int i = 0; i < count; i++) {
+				operation.accept(round * count + i);
+			}
+			best = Math.min(best, (double) (THREADS.getCurrentThreadCpuTime() - start) / count);
+		}
+		return best;
+	}
+
+	/**
+	 * Measures the heap that a structure keeps.
+	 * @param structure creates the structure
+	 * @return the bytes
+	 */
+	static long retainedBytes(Supplier<Object> structure) {
+		long before = usedAfterCollection();
+		Object kept = structure.get();
+		long after = usedAfterCollection();
+		if (kept.hashCode() == 0) {
+			throw new IllegalStateException("the structure must stay reachable");
+		}
+		return Math.max(0, after - before);
+	}
+
+	private static long usedAfterCollection() {
+		for (int i = 0; i < 3; i++) {
+			System.gc();
+		}
+		Runtime runtime = Runtime.getRuntime();
+		return runtime.totalMemory() - runtime.freeMemory();
+	}
+
+}
