--- a/benchmark/src/main/java/org/banyanstile/benchmark/FleetSlopes.java
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/FleetSlopes.java
@@ -40,16 +40,17 @@
 		configuration(table, 13_000, 3100);
 	}
 
-	private static Heartbeat heartbeat(int vm) {
-		return new Heartbeat(VmId.of("vm-" + vm), vm, 3, 1700, 900, VmState.LIVE, true, 100_000 + vm, 100_000);
+	private static Heartbeat heartbeat(int vm, long sequence) {
+		return new Heartbeat(VmId.of("vm-" + vm), vm, 3, 1700, 900, VmState.LIVE, true, 100_000 + vm, sequence);
 	}
 
 	private static void heartbeats(SlopeTable table, int vms) {
 		MessageCodec codec = MessageCodec.create().registerNested(VmId.class).register(Heartbeat.class);
-		PeerTable peers = PeerTable.create(1);
+		PeerTable peers = PeerTable.create(100_000);
+		long sequence = peers.beginRound(0);
 		table.cpu("VM, heartbeat encode, decode, record", "VMs", vms, Meter.nanosPerOperation(20_000, (i) -> {
 			try {
-				byte[] frame = codec.encode(new Message(Message.ONE_WAY, heartbeat(i % vms)));
+				byte[] frame = codec.encode(new Message(Message.ONE_WAY, heartbeat(i % vms, sequence)));
 				peers.receive((Heartbeat) codec.decode(frame).payload(), i);
 			}
 			catch (IOException ex) {
@@ -60,7 +61,7 @@
 				Meter.nanosPerOperation(200, (i) -> peers.recent(20_000 * 7)));
 		try {
 			table.bytes("heartbeat frame", "VMs", vms,
-					4 + codec.encode(new Message(Message.ONE_WAY, heartbeat(vms - 1))).length);
+					4 + codec.encode(new Message(Message.ONE_WAY, heartbeat(vms - 1, sequence))).length);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
--- a/benchmark/src/main/java/org/banyanstile/benchmark/Meter.java
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/Meter.java
@@ -2,6 +2,8 @@
 
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.IntConsumer;
 import java.util.function.Supplier;
 
@@ -14,6 +16,11 @@
 
 	private static final int ROUNDS = 7;
 
+	/**
+	 * Copies of a structure, so that its size stands out from other changes of the heap.
+	 */
+	private static final int COPIES = 10;
+
 	private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
 	private Meter() {
@@ -44,13 +51,17 @@
 	 * @return the bytes
 	 */
 	static long retainedBytes(Supplier<Object> structure) {
+		usedAfterCollection();
 		long before = usedAfterCollection();
-		Object kept = structure.get();
+		List<Object> kept = new ArrayList<>();
+		for (int i = 0; i < COPIES; i++) {
+			kept.add(structure.get());
+		}
 		long after = usedAfterCollection();
-		if (kept.hashCode() == 0) {
+		if (kept.size() != COPIES) {
 			throw new IllegalStateException("the structure must stay reachable");
 		}
-		return Math.max(0, after - before);
+		return Math.max(0, after - before) / COPIES;
 	}
 
 	private static long usedAfterCollection() {
