--- a/benchmark/src/main/java/org/banyanstile/benchmark/FleetSlopes.java
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/FleetSlopes.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
 
 import org.banyanstile.config.Endpoint;
 import org.banyanstile.config.EndpointRole;
@@ -13,7 +15,13 @@
 import org.banyanstile.config.TeamKey;
 import org.banyanstile.config.json.ConfigurationException;
 import org.banyanstile.config.json.ConfigurationJson;
+import org.banyanstile.core.admission.SlotDecision;
+import org.banyanstile.core.admission.SlotRequest;
+import org.banyanstile.core.common.EndpointId;
+import org.banyanstile.core.common.TeamId;
 import org.banyanstile.core.common.VmId;
+import org.banyanstile.core.limit.GrantReply;
+import org.banyanstile.core.limit.GrantRequest;
 import org.banyanstile.core.membership.Heartbeat;
 import org.banyanstile.core.membership.PeerTable;
 import org.banyanstile.core.membership.VmState;
@@ -35,6 +43,7 @@
 		for (int vms : new int[] { 9, 275, 1100 }) {
 			heartbeats(table, vms);
 		}
+		frames(table);
 		configuration(table, 5, 16);
 		configuration(table, 1300, 310);
 		configuration(table, 13_000, 3100);
@@ -68,6 +77,39 @@
 		}
 	}
 
+	/**
+	 * Encodes the records of the decision classes as the frames between VMs do.
+	 * @param table the output
+	 */
+	private static void frames(SlopeTable table) {
+		MessageCodec codec = MessageCodec.create()
+			.registerNested(VmId.class)
+			.registerNested(TeamId.class)
+			.registerNested(EndpointId.class)
+			.register(GrantRequest.class)
+			.register(GrantReply.class)
+			.register(SlotRequest.class)
+			.register(SlotDecision.Granted.class);
+		TeamId team = TeamId.of("team-12345");
+		EndpointId endpoint = EndpointId.of("draft-writer-1234");
+		String requestId = "0123456789abcdef0123456789abcdef";
+		frame(table, codec, "grant request frame",
+				new GrantRequest(team, 1370, 2740, 500, 1L << 50, 7, List.of(1L << 50)));
+		frame(table, codec, "grant reply frame", new GrantReply(1370, 2_000_000_000L, 0, 1L << 50, 7));
+		frame(table, codec, "slot request frame",
+				new SlotRequest(requestId, VmId.of("vm-1234"), team, 1, 1370, 300_000_000L, false, endpoint, Set.of()));
+		frame(table, codec, "slot grant frame", new SlotDecision.Granted(requestId, endpoint, 15_000_000_000L));
+	}
+
+	private static void frame(SlopeTable table, MessageCodec codec, String what, Record payload) {
+		try {
+			table.bytes(what, "frames", 1, 4 + codec.encode(new Message(1, payload)).length);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	private static FleetConfiguration fleet(int teams, int endpoints) {
 		FleetConfiguration.Builder builder = FleetConfiguration.builder("slope")
 			.region(Region.of("region", "dc-0", "dc-1", "dc-2"))
