Say 'not run' only after the claim row was read, and start from peers

Cause: a once-only call refused for rate, for a closed gate or for an unavailable store was answered 'not run' without a look at its claim. A repeat of a booking whose first answer was lost got a false 'not run'. Also, a VM that starts during a store outage never asked its peers for the configuration, since PeerStart was not wired. Ruled out: claiming before every refusal, which costs two store writes for each request of a team over its rate; a new header by which callers mark repeats. Change: ClaimResult.Unclaimed, OnceOnlyClaims.mayHaveRun; such refusals keep 'not run' only if the row is absent or void. The replaced test is stricter: it also repeats an answered call. ConfigFetch is answered and PeerStart runs. Measured: storeDownAtTheClaimSaysNothingOfEarlierAttempts fails to find an Unclaimed result in the old code (it returned NotRun); core, io, config and server pass after the change. Conclusion: a refused repeat costs one read; its statement is true.

--- a/core/src/main/java/org/banyanstile/core/claim/ClaimResult.java
+++ b/core/src/main/java/org/banyanstile/core/claim/ClaimResult.java
@@ -17,7 +17,15 @@
 	}
 
 	/**
-	 * The outcome is known already, or the call cannot be claimed.
+	 * The store was not asked, or did not answer. This attempt has not run and will not;
+	 * nothing is known of earlier attempts.
+	 */
+	record Unclaimed() implements ClaimResult {
+
+	}
+
+	/**
+	 * The outcome is known.
 	 *
 	 * @param outcome the outcome
 	 */
--- a/core/src/main/java/org/banyanstile/core/claim/OnceOnlyClaims.java
+++ b/core/src/main/java/org/banyanstile/core/claim/OnceOnlyClaims.java
@@ -58,7 +58,7 @@
 	}
 
 	/**
-	 * Claims a call. {@code NotRun} means that this attempt did not run and will not.
+	 * Claims a call. {@code NotRun} means that no attempt seen so far has run or will.
 	 * @param identity identity of the call
 	 * @param bodyHash hash of method, path and body
 	 * @param holder slot that this VM holds
@@ -70,7 +70,7 @@
 			known = this.local.begin(identity, bodyHash);
 		}
 		catch (LocalClaims.TooManyClaimsException ex) {
-			return new ClaimResult.Settled(new ClaimOutcome.NotRun());
+			return new ClaimResult.Unclaimed();
 		}
 		if (known != null) {
 			return repeated(known, bodyHash, holder);
@@ -87,6 +87,25 @@
 		return result;
 	}
 
+	/**
+	 * Returns whether a call may have run or may be running, for a refusal without a
+	 * claim.
+	 * @param identity identity of the call
+	 * @return {@code false} only if the store shows no claim, or a void one
+	 */
+	public boolean mayHaveRun(ClaimIdentity identity) {
+		if (this.local.get(identity) != null) {
+			return true;
+		}
+		try {
+			Row row = find(this.store.read(List.of(identity.rowKey())), identity.rowKey());
+			return row != null && ClaimRecord.decode(row, this.codec).state() != ClaimState.VOID;
+		}
+		catch (StoreException ex) {
+			return true;
+		}
+	}
+
 	private static ClaimResult repeated(LocalClaims.Entry known, String bodyHash, ClaimHolder holder) {
 		if (!known.bodyHash().equals(bodyHash)) {
 			return new ClaimResult.KeyReused();
@@ -120,7 +139,7 @@
 				return resolve(identity, condition, record);
 			}
 			catch (StoreException ex) {
-				return new ClaimResult.Settled(new ClaimOutcome.NotRun());
+				return new ClaimResult.Unclaimed();
 			}
 		}
 		return new ClaimResult.Settled(new ClaimOutcome.OutcomeUnknown());
--- a/core/src/test/java/org/banyanstile/core/claim/OnceOnlyClaimsTests.java
+++ b/core/src/test/java/org/banyanstile/core/claim/OnceOnlyClaimsTests.java
@@ -115,10 +115,25 @@
 	}
 
 	@Test
-	void storeDownAtTheClaimIsNotRun() {
+	void storeDownAtTheClaimSaysNothingOfEarlierAttempts() {
 		this.store.failNext(Fault.UNAVAILABLE);
-		assertThat(this.first.claim("b"), equalTo(settled(NOT_RUN)));
+		assertThat(this.first.claim("b"), equalTo(new ClaimResult.Unclaimed()));
 		assertThat(this.store.withPrefix("claim/").size(), is(0));
+		HeldClaim claim = this.second.granted("b");
+		this.second.claims.complete(claim, ANSWER);
+		this.store.failNext(Fault.UNAVAILABLE);
+		assertThat("a repeat of an answered call", this.first.claim("b"), equalTo(new ClaimResult.Unclaimed()));
+	}
+
+	@Test
+	void refusalWithoutAClaimKnowsWhetherAnEarlierAttemptMayHaveRun() {
+		assertThat(this.first.claims.mayHaveRun(ORDER), is(false));
+		HeldClaim claim = this.second.granted("b");
+		assertThat("running", this.first.claims.mayHaveRun(ORDER), is(true));
+		this.second.claims.complete(claim, NOT_RUN);
+		assertThat("void", this.first.claims.mayHaveRun(ORDER), is(false));
+		this.store.failNext(Fault.UNAVAILABLE);
+		assertThat("store down", this.first.claims.mayHaveRun(ORDER), is(true));
 	}
 
 	@ParameterizedTest
--- a/server/src/main/java/org/banyanstile/server/FleetParts.java
+++ b/server/src/main/java/org/banyanstile/server/FleetParts.java
@@ -16,7 +16,9 @@
 import org.apache.logging.log4j.Logger;
 import org.banyanstile.config.FleetConfiguration;
 import org.banyanstile.config.VmSettings;
+import org.banyanstile.config.api.CurrentConfiguration;
 import org.banyanstile.config.api.VmStatus;
+import org.banyanstile.config.json.ConfigurationJson;
 import org.banyanstile.core.claim.ClaimHolder;
 import org.banyanstile.core.claim.OnceOnlyClaims;
 import org.banyanstile.core.common.DataCentreId;
@@ -41,6 +43,8 @@
 import org.banyanstile.server.fleet.Partitions;
 import org.banyanstile.server.fleet.PoolOwner;
 import org.banyanstile.server.fleet.PoolReconciler;
+import org.banyanstile.server.operator.PeerFetch;
+import org.banyanstile.server.operator.PeerStart;
 import org.banyanstile.server.operator.RolloutService;
 import org.banyanstile.server.operator.RolloutTimes;
 import org.banyanstile.server.platform.Coordination;
@@ -48,11 +52,13 @@
 import org.banyanstile.server.platform.HttpTableStore;
 import org.banyanstile.server.platform.JsonRowCodec;
 import org.banyanstile.server.platform.VmListClient;
+import org.banyanstile.server.vm.ConfigFetch;
 import org.banyanstile.server.vm.ConfigPush;
 import org.banyanstile.server.vm.MessageHandlers;
 import org.banyanstile.server.vm.VmIdentity;
 import org.banyanstile.server.vm.VmMessages;
 import org.banyanstile.server.vm.VmPeers;
+import org.banyanstile.server.vm.VmRequestException;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -71,6 +77,8 @@
 
 	private static final long RECONCILE_MILLIS = 2000;
 
+	private static final Duration FETCH = Duration.ofSeconds(1);
+
 	private static final Duration RELEASE = Duration.ofSeconds(5);
 
 	private static final Logger logger = LogManager.getLogger(FleetParts.class);
@@ -171,6 +179,7 @@
 			this.rollout.received(push.version(), push.body());
 			return null;
 		});
+		this.handlers.register(ConfigFetch.class, (from, request) -> currentConfiguration());
 		this.coordination.setPartitions(Partitions.all(this.applied.current()));
 		this.peers.start();
 		this.loop.start(this.handlers);
@@ -180,6 +189,25 @@
 		repeat(WAITING_MILLIS, this.pools::expire);
 		repeat(RECONCILE_MILLIS, this.reconciler::reconcile);
 		repeat(SECOND, this.claims::writeRetained);
+		PeerStart start = PeerStart.create(this.rollout, new RolloutView(this.coordination, this.peers), this::fetch);
+		repeat(SECOND, start::run);
+	}
+
+	private ConfigPush currentConfiguration() {
+		CurrentConfiguration current = this.rollout.current();
+		FleetConfiguration configuration = current.configuration();
+		return new ConfigPush(current.version(), (configuration != null) ? ConfigurationJson.write(configuration) : "");
+	}
+
+	private PeerFetch.@Nullable Fetched fetch(VmId vm) {
+		try {
+			ConfigPush push = this.peers.request(vm, new ConfigFetch(0), ConfigPush.class, FETCH);
+			return new PeerFetch.Fetched(push.version(), push.body());
+		}
+		catch (VmRequestException ex) {
+			// Asked again in the next second.
+			return null;
+		}
 	}
 
 	private void repeat(long millis, Runnable task) {
--- a/server/src/main/java/org/banyanstile/server/LocalClaimService.java
+++ b/server/src/main/java/org/banyanstile/server/LocalClaimService.java
@@ -7,7 +7,6 @@
 import org.banyanstile.server.caller.ClaimDecision;
 import org.banyanstile.server.caller.ClaimKey;
 import org.banyanstile.server.caller.ClaimService;
-import org.banyanstile.server.caller.NotRunReason;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -38,7 +37,7 @@
 		Claim claim = this.claims.get(name);
 		if (claim == null) {
 			if (this.claims.size() >= MAX_CLAIMS) {
-				return new ClaimDecision.Decided(new CallOutcome.NotRun(NotRunReason.STORE_UNAVAILABLE));
+				return new ClaimDecision.Unavailable(RETRY_MILLIS);
 			}
 			this.claims.put(name, new Claim(key.bodyHash(), null));
 			return new ClaimDecision.Run(key, name);
@@ -50,6 +49,11 @@
 		return (outcome != null) ? new ClaimDecision.Decided(outcome) : new ClaimDecision.InProgress(RETRY_MILLIS);
 	}
 
+	@Override
+	public synchronized boolean mayHaveRun(ClaimKey key) {
+		return this.claims.containsKey(key.team() + "/" + key.keyHash());
+	}
+
 	@Override
 	public synchronized void complete(ClaimDecision.Run run, CallOutcome outcome) {
 		String name = (String) run.handle();
--- a/server/src/main/java/org/banyanstile/server/caller/ClaimDecision.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ClaimDecision.java
@@ -19,7 +19,18 @@
 	}
 
 	/**
-	 * The call is decided already, or cannot be claimed.
+	 * The call cannot be claimed now. This attempt has not run; nothing is known of
+	 * earlier ones.
+	 *
+	 * @param retryAfterMillis time after which to try again
+	 * @author banyanstile contributors
+	 */
+	record Unavailable(long retryAfterMillis) implements ClaimDecision {
+
+	}
+
+	/**
+	 * The call is decided already.
 	 *
 	 * @param outcome the outcome
 	 * @author banyanstile contributors
--- a/server/src/main/java/org/banyanstile/server/caller/ClaimService.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ClaimService.java
@@ -14,6 +14,13 @@
 	 */
 	ClaimDecision claim(ClaimKey key);
 
+	/**
+	 * Returns whether an earlier attempt may have run, for a refusal without a claim.
+	 * @param key identity of the call
+	 * @return {@code false} only if it is certain that none has run or is running
+	 */
+	boolean mayHaveRun(ClaimKey key);
+
 	/**
 	 * Records the outcome of a claimed call. An outcome that cannot be stored now is kept
 	 * and stored later.
--- a/server/src/main/java/org/banyanstile/server/caller/NotRunReason.java
+++ b/server/src/main/java/org/banyanstile/server/caller/NotRunReason.java
@@ -7,11 +7,6 @@
  */
 public enum NotRunReason {
 
-	/**
-	 * The claim could not be stored.
-	 */
-	STORE_UNAVAILABLE,
-
 	/**
 	 * This VM may not serve.
 	 */
--- a/server/src/main/java/org/banyanstile/server/caller/OnceOutcomes.java
+++ b/server/src/main/java/org/banyanstile/server/caller/OnceOutcomes.java
@@ -7,8 +7,6 @@
  */
 final class OnceOutcomes {
 
-	private static final long STORE_RETRY_MILLIS = 1000;
-
 	private static final long RETRY_MILLIS = 250;
 
 	private static final int MAX_MESSAGE = 1000;
@@ -37,8 +35,6 @@
 
 	private static RequestException notRun(NotRunReason reason) {
 		return switch (reason) {
-			case STORE_UNAVAILABLE -> RequestException.notRun(ErrorType.STORE_UNAVAILABLE,
-					"the call cannot be claimed because the store is not available", STORE_RETRY_MILLIS);
 			case NOT_SERVING -> RequestException.notRun(ErrorType.NOT_SERVING, "this VM may not serve now", 0);
 			case NO_ENDPOINT ->
 				RequestException.notRun(ErrorType.OVERLOADED, "no endpoint accepted a connection", RETRY_MILLIS);
--- a/server/src/main/java/org/banyanstile/server/caller/ServiceHandler.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ServiceHandler.java
@@ -72,20 +72,56 @@
 
 	private StoredAnswer answer(CallerRequest request, @Nullable Caller caller, ServiceRoute route,
 			RequestLabels labels) throws RequestException {
-		if (!this.services.serving().mayServe()) {
-			throw RequestException.notRun(ErrorType.NOT_SERVING, "this VM may not serve now", 0);
-		}
 		if (!route.idempotent() && caller == null) {
 			throw RequestException.notRun(ErrorType.UNAUTHORIZED, "a call that must not be repeated needs a key");
 		}
 		if (!route.idempotent() && request.idempotencyKey() == null) {
 			throw RequestException.notRun(ErrorType.INVALID_REQUEST, "this route requires an Idempotency-Key");
 		}
+		ServiceDispatch dispatch = dispatch(request, caller, route, labels);
+		if (route.idempotent() || caller == null) {
+			checkServing();
+			return limited(caller, labels, dispatch::repeatable);
+		}
+		ClaimKey key = new ClaimKey(caller.team(), Hashes.sha256(String.valueOf(request.idempotencyKey())),
+				dispatch.hash());
+		try {
+			checkServing();
+			return limited(caller, labels, () -> once(key, dispatch));
+		}
+		catch (RequestException ex) {
+			throw isMadeWithoutClaim(ex) ? withEarlierAttempts(ex, key) : ex;
+		}
+	}
+
+	private static boolean isMadeWithoutClaim(RequestException ex) {
+		return ex.run() == RunState.NOT_RUN
+				&& (ex.type() == ErrorType.NOT_SERVING || ex.type() == ErrorType.RATE_LIMITED);
+	}
+
+	/**
+	 * Withdraws the statement "not run" from a refusal if an earlier attempt with the
+	 * same idempotency key may have run. A caller that repeats a booking whose answer was
+	 * lost would otherwise book again under another key.
+	 * @param ex the refusal
+	 * @param key identity of the call
+	 * @return the refusal
+	 */
+	private RequestException withEarlierAttempts(RequestException ex, ClaimKey key) {
+		return this.services.claims().mayHaveRun(key) ? ex.afterAttempt() : ex;
+	}
+
+	private void checkServing() throws RequestException {
+		if (!this.services.serving().mayServe()) {
+			throw RequestException.notRun(ErrorType.NOT_SERVING, "this VM may not serve now", 0);
+		}
+	}
+
+	private StoredAnswer limited(@Nullable Caller caller, RequestLabels labels, Call call) throws RequestException {
 		LimitDecision.Reserved reservation = (caller != null) ? reserve(caller) : null;
 		this.services.metrics().accepted(labels);
 		try {
-			ServiceDispatch dispatch = dispatch(request, caller, route, labels);
-			return (route.idempotent() || caller == null) ? dispatch.repeatable() : once(request, caller, dispatch);
+			return call.answer();
 		}
 		finally {
 			if (reservation != null) {
@@ -127,9 +163,7 @@
 				id, Math.min(SLOT_WAIT_MILLIS, request.deadlineMillis()), labels);
 	}
 
-	private StoredAnswer once(CallerRequest request, Caller caller, ServiceDispatch dispatch) throws RequestException {
-		ClaimKey key = new ClaimKey(caller.team(), Hashes.sha256(String.valueOf(request.idempotencyKey())),
-				dispatch.hash());
+	private StoredAnswer once(ClaimKey key, ServiceDispatch dispatch) throws RequestException {
 		ClaimDecision decision = this.services.claims().claim(key);
 		if (decision instanceof ClaimDecision.KeyReused) {
 			throw RequestException.notRun(ErrorType.KEY_REUSED, "the idempotency key was used with another request");
@@ -138,6 +172,11 @@
 			throw RequestException.unknown(ErrorType.OUTCOME_UNKNOWN, "the same call is still running",
 					running.retryAfterMillis());
 		}
+		if (decision instanceof ClaimDecision.Unavailable unavailable) {
+			throw RequestException.unknown(ErrorType.STORE_UNAVAILABLE,
+					"this attempt did not run, but it is not known whether an earlier one did",
+					unavailable.retryAfterMillis());
+		}
 		if (decision instanceof ClaimDecision.Run run) {
 			return OnceOutcomes.answer(runOnce(run, dispatch));
 		}
@@ -155,4 +194,16 @@
 		}
 	}
 
+	/**
+	 * A call within the limit of the team.
+	 *
+	 * @author banyanstile contributors
+	 */
+	@FunctionalInterface
+	private interface Call {
+
+		StoredAnswer answer() throws RequestException;
+
+	}
+
 }
--- a/server/src/main/java/org/banyanstile/server/fleet/FleetClaimService.java
+++ b/server/src/main/java/org/banyanstile/server/fleet/FleetClaimService.java
@@ -78,12 +78,15 @@
 		while (true) {
 			ClaimHolder holder = this.self.get();
 			if (holder == null) {
-				return new ClaimDecision.Decided(new CallOutcome.NotRun(NotRunReason.STORE_UNAVAILABLE));
+				return new ClaimDecision.Unavailable(RETRY_MILLIS);
 			}
 			ClaimResult result = this.claims.claim(identity, key.bodyHash(), holder);
 			if (result instanceof ClaimResult.Granted granted) {
 				return new ClaimDecision.Run(key, granted.claim());
 			}
+			if (result instanceof ClaimResult.Unclaimed) {
+				return new ClaimDecision.Unavailable(RETRY_MILLIS);
+			}
 			if (result instanceof ClaimResult.KeyReused) {
 				return new ClaimDecision.KeyReused();
 			}
@@ -101,6 +104,11 @@
 		}
 	}
 
+	@Override
+	public boolean mayHaveRun(ClaimKey key) {
+		return this.claims.mayHaveRun(new ClaimIdentity(key.team(), key.keyHash()));
+	}
+
 	private static boolean pause() {
 		try {
 			Thread.sleep(POLL_MILLIS);
@@ -168,7 +176,7 @@
 			return new CallOutcome.RefusedByEndpoint(
 					new StoredAnswer(refused.status(), refused.contentType(), refused.body()));
 		}
-		return (outcome instanceof ClaimOutcome.NotRun) ? new CallOutcome.NotRun(NotRunReason.STORE_UNAVAILABLE)
+		return (outcome instanceof ClaimOutcome.NotRun) ? new CallOutcome.NotRun(NotRunReason.OVERLOADED)
 				: new CallOutcome.OutcomeUnknown();
 	}
 
--- a/server/src/test/java/org/banyanstile/server/fleet/FleetClaimServiceTests.java
+++ b/server/src/test/java/org/banyanstile/server/fleet/FleetClaimServiceTests.java
@@ -24,7 +24,6 @@
 import org.banyanstile.server.caller.CallOutcome;
 import org.banyanstile.server.caller.ClaimDecision;
 import org.banyanstile.server.caller.ClaimKey;
-import org.banyanstile.server.caller.NotRunReason;
 import org.banyanstile.server.caller.StoredAnswer;
 import org.banyanstile.server.platform.JsonRowCodec;
 import org.junit.jupiter.api.AfterEach;
@@ -107,8 +106,8 @@
 	@Test
 	void refusesWithoutTheStore() {
 		this.table.available = false;
-		assertThat(this.first.claim(KEY),
-				is(new ClaimDecision.Decided(new CallOutcome.NotRun(NotRunReason.STORE_UNAVAILABLE))));
+		assertThat(this.first.claim(KEY), is(instanceOf(ClaimDecision.Unavailable.class)));
+		assertThat(this.first.mayHaveRun(KEY), is(true));
 		this.table.available = true;
 		assertThat(this.second.claim(KEY), is(instanceOf(ClaimDecision.Run.class)));
 	}
