Test that answered calls are not reported as broken

Cause: the race of the detached request channel had no test that provokes it. Change: 8 callers make 500 calls each on new connections.

--- a/io/src/test/java/org/banyanstile/io/http/HttpClientTests.java
+++ b/io/src/test/java/org/banyanstile/io/http/HttpClientTests.java
@@ -5,6 +5,9 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 
 import io.undertow.Undertow;
@@ -110,4 +113,32 @@
 		}
 	}
 
+	/**
+	 * Guards against a call that is reported as broken although it was answered: the
+	 * request channel is detached by the I/O thread while the caller flushes it.
+	 */
+	@Test
+	void answeredCallsAreNotReportedAsBroken() throws Exception {
+		String address = serve((exchange) -> exchange.setStatusCode(200));
+		List<CompletableFuture<Integer>> callers = new ArrayList<>();
+		for (int i = 0; i < 8; i++) {
+			callers.add(CompletableFuture.supplyAsync(() -> {
+				int answered = 0;
+				for (int n = 0; n < 500; n++) {
+					try (HttpResponse response = this.client
+						.send(HttpRequest.get(address, "/").withFreshConnection())) {
+						answered += (response.status() == 200) ? 1 : 0;
+					}
+					catch (HttpException ex) {
+						throw new IllegalStateException(ex);
+					}
+				}
+				return answered;
+			}));
+		}
+		for (CompletableFuture<Integer> caller : callers) {
+			assertThat(caller.get(), is(500));
+		}
+	}
+
 }
