Let a team save up the tokens of all slots of its pool

Change: the credit is the mean cost times all allowed slots. Conclusion: a team that was idle can be served first for about the time of one answer; its burst limit bounds that as well.

--- a/core/src/main/java/org/banyanstile/core/admission/SlotBroker.java
+++ b/core/src/main/java/org/banyanstile/core/admission/SlotBroker.java
@@ -312,7 +312,7 @@
 	private void grant(SlotRequest request, EndpointSlots slots, long now, List<SlotDecision> decisions) {
 		slots.hold(request.requestId(), request.holder(), now, now + SLOT_NANOS);
 		this.meanCost += (request.cost() - this.meanCost) / MEAN_OVER;
-		this.queue.credit(this.meanCost * allowedSlots() / Math.max(1, this.queue.activeTeams()));
+		this.queue.credit(this.meanCost * allowedSlots());
 		this.holding.put(request.requestId(), slots);
 		decisions.add(new SlotDecision.Granted(request.requestId(), slots.endpoint(), SLOT_NANOS));
 	}
