--- a/benchmark/src/test/java/org/banyanstile/benchmark/ComparisonTests.java
+++ b/benchmark/src/test/java/org/banyanstile/benchmark/ComparisonTests.java
@@ -15,7 +15,7 @@
 
 /**
  * Bounds on what the comparisons count, from the goals in section 8 of the design. The
- * goal for the worst team at five times another's rate is missed and not checked here;
+ * goal for the worst team is missed on tywod and checked for order-desk only;
  * docs/measurements.md says by how much and why.
  *
  * @author banyanstile contributors
@@ -54,6 +54,9 @@
 					.worstTeamShare())
 				.toList();
 			assertThat(deployment.name(), shares.get(1), greaterThan(shares.get(0)));
+			if (deployment.name().equals("order-desk")) {
+				assertThat(deployment.name(), shares.get(1), greaterThanOrEqualTo(0.95));
+			}
 		}
 	}
 
