--- a/core/src/main/java/org/banyanstile/core/admission/SlotBroker.java
+++ b/core/src/main/java/org/banyanstile/core/admission/SlotBroker.java
@@ -28,12 +28,6 @@
 	 */
 	public static final long SLOT_NANOS = TimeUnit.SECONDS.toNanos(15);
 
-	/**
-	 * Requests by which the endpoint with the cached prefix may exceed the least loaded
-	 * one. More would cost more waiting than the prefix saves.
-	 */
-	private static final int AFFINITY_BOUND = 2;
-
 	private static final long DEFAULT_RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
 	private static final long MIN_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
@@ -46,6 +40,8 @@
 
 	private final Map<EndpointId, EndpointSlots> endpoints = new LinkedHashMap<>();
 
+	private final EndpointSelection selection = new EndpointSelection(this.endpoints);
+
 	private final Map<String, EndpointSlots> holding = new HashMap<>();
 
 	private final Map<String, FairQueue.Waiting> suspects = new LinkedHashMap<>();
@@ -289,7 +285,7 @@
 	}
 
 	private FairQueue.@Nullable Waiting poll() {
-		if (this.queue.size() == 0 || choose(Set.of(), null) == null) {
+		if (this.queue.size() == 0 || this.selection.choose(Set.of(), null) == null) {
 			return null;
 		}
 		return this.queue.poll((request) -> choose(request) != null && mayUseLastSlots(request));
@@ -304,44 +300,20 @@
 	 * @return true if more slots are free, or the team is behind or alone
 	 */
 	private boolean mayUseLastSlots(SlotRequest request) {
-		int free = this.endpoints.values().stream().mapToInt(EndpointSlots::free).sum();
-		return free > Math.sqrt(allowedSlots()) / 2 || this.queue.isBehind(request.team())
-				|| this.queue.activeTeams() <= 1;
+		return this.selection.freeSlots() > Math.sqrt(this.selection.allowedSlots()) / 2
+				|| this.queue.isBehind(request.team()) || this.queue.activeTeams() <= 1;
 	}
 
 	private void grant(SlotRequest request, EndpointSlots slots, long now, List<SlotDecision> decisions) {
 		slots.hold(request.requestId(), request.holder(), now, now + SLOT_NANOS);
 		this.meanCost += (request.cost() - this.meanCost) / MEAN_OVER;
-		this.queue.credit(this.meanCost * allowedSlots());
+		this.queue.credit(this.meanCost * this.selection.allowedSlots());
 		this.holding.put(request.requestId(), slots);
 		decisions.add(new SlotDecision.Granted(request.requestId(), slots.endpoint(), SLOT_NANOS));
 	}
 
-	/**
-	 * Returns the slots that the endpoints allow.
-	 * @return the sum over all endpoints
-	 */
-	private int allowedSlots() {
-		return this.endpoints.values().stream().mapToInt((slots) -> slots.ramp().allowed()).sum();
-	}
-
 	private @Nullable EndpointSlots choose(SlotRequest request) {
-		return choose(request.excluded(), request.preferred());
-	}
-
-	private @Nullable EndpointSlots choose(Set<EndpointId> excluded, @Nullable EndpointId preferred) {
-		EndpointSlots least = null;
-		for (EndpointSlots slots : this.endpoints.values()) {
-			if (slots.isOpen(excluded) && (least == null || slots.fill() < least.fill())) {
-				least = slots;
-			}
-		}
-		EndpointSlots hinted = (preferred != null) ? this.endpoints.get(preferred) : null;
-		if (least != null && hinted != null && hinted.isOpen(excluded)
-				&& hinted.held() <= least.held() + AFFINITY_BOUND) {
-			return hinted;
-		}
-		return least;
+		return this.selection.choose(request.excluded(), request.preferred());
 	}
 
 	private void refuseLate(long now, List<SlotDecision> decisions) {
@@ -361,7 +333,7 @@
 		// is used for suspects, so that a crash with many requests in flight does not
 		// stop all other work.
 		for (FairQueue.Waiting waiting : List.copyOf(this.suspects.values())) {
-			EndpointSlots reserved = reservation(waiting.request());
+			EndpointSlots reserved = this.selection.reservation(waiting.request());
 			if (reserved == null) {
 				return;
 			}
@@ -372,25 +344,6 @@
 		}
 	}
 
-	private @Nullable EndpointSlots reservation(SlotRequest request) {
-		EndpointSlots best = null;
-		int reserved = 0;
-		for (EndpointSlots slots : this.endpoints.values()) {
-			if (slots.isReservedFor(request.requestId())) {
-				return slots;
-			}
-			reserved += slots.isReserved() ? 1 : 0;
-			if (slots.canReserve(request.excluded()) && (best == null || slots.held() < best.held())) {
-				best = slots;
-			}
-		}
-		if (best == null || reserved >= Math.max(1, this.endpoints.size() / 4)) {
-			return null;
-		}
-		best.reserve(request.requestId());
-		return best;
-	}
-
 	private boolean isHopeless(SlotRequest request, long now) {
 		boolean possible = this.endpoints.values().stream().anyMatch((slots) -> slots.isUsable(request.excluded()));
 		if (!possible || this.queue.size() >= MAX_WAITING) {
