List no VM whose heartbeat says that it leaves

Cause: a run of four processes showed that another VM still listed a VM 1.5 s after its SIGTERM, because slot rows are scanned only each 5 s; callers could hold that entry longer than the VM serves. Ruled out: scanning more often, which costs store reads. Change: GET /v1/vms leaves out VMs whose heartbeat is not LIVE, and the shutdown window grows by two heartbeat periods. Conclusion: the list lags by heartbeats instead of scans.

--- a/server/src/main/java/org/banyanstile/server/Daemon.java
+++ b/server/src/main/java/org/banyanstile/server/Daemon.java
@@ -44,6 +44,12 @@
 
 	private static final int MAX_BURN_SERIES = 10_000;
 
+	/**
+	 * Other VMs learn from the next heartbeat that this one is leaving, so their lists
+	 * show it for up to two heartbeat periods.
+	 */
+	private static final long LIST_LAG_NANOS = Duration.ofSeconds(2).toNanos();
+
 	private static final long POLL_MILLIS = 20;
 
 	private static final Logger logger = LogManager.getLogger(Daemon.class);
@@ -174,6 +180,9 @@
 			parts.leave();
 		}
 		long windowEnd = System.nanoTime() + this.settings.shutdownWindow().toNanos();
+		if (parts != null) {
+			windowEnd += LIST_LAG_NANOS;
+		}
 		try {
 			while (System.nanoTime() < windowEnd) {
 				Thread.sleep(POLL_MILLIS);
--- a/server/src/main/java/org/banyanstile/server/FleetParts.java
+++ b/server/src/main/java/org/banyanstile/server/FleetParts.java
@@ -25,6 +25,7 @@
 import org.banyanstile.core.lease.OperationIds;
 import org.banyanstile.core.lease.SlotRecord;
 import org.banyanstile.core.lease.VmCoordinator;
+import org.banyanstile.core.membership.PeerReport;
 import org.banyanstile.core.membership.VmState;
 import org.banyanstile.core.rollout.ConfigurationStore;
 import org.banyanstile.core.store.StoreException;
@@ -249,8 +250,10 @@
 	}
 
 	private boolean isAlive(VmId vm) {
-		return vm.equals(this.view.self())
-				|| this.coordination.reports().stream().anyMatch((report) -> report.heartbeat().vm().equals(vm));
+		return vm.equals(this.view.self()) || this.coordination.reports()
+			.stream()
+			.map(PeerReport::heartbeat)
+			.anyMatch((heartbeat) -> heartbeat.vm().equals(vm) && heartbeat.state() == VmState.LIVE);
 	}
 
 	VmStatus status(int running) {
