--- a/benchmark/src/test/java/org/banyanstile/benchmark/ComparisonTests.java
+++ b/benchmark/src/test/java/org/banyanstile/benchmark/ComparisonTests.java
@@ -1,6 +1,7 @@
 package org.banyanstile.benchmark;
 
 import java.util.List;
+import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -14,9 +15,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
- * Bounds on what the comparisons count, from the goals in section 8 of the design. The
- * goal for the worst team is missed on tywod and checked for order-desk only;
- * docs/measurements.md says by how much and why.
+ * Bounds on what the comparisons count, from the goals in section 8 of the design.
  *
  * @author banyanstile contributors
  */
@@ -54,12 +53,30 @@
 					.worstTeamShare())
 				.toList();
 			assertThat(deployment.name(), shares.get(1), greaterThan(shares.get(0)));
-			if (deployment.name().equals("order-desk")) {
-				assertThat(deployment.name(), shares.get(1), greaterThanOrEqualTo(0.95));
-			}
 		}
 	}
 
+	/**
+	 * Guards against a team at five times its rate that slows the others. One seed alone
+	 * can meet the goal by chance, so the mean of several must meet it too.
+	 */
+	@Test
+	void worstTeamGetsItsFairShareBesideAFlood() {
+		for (Deployment deployment : Deployment.all()) {
+			assertThat(deployment.name(), worstTeamShare(deployment, ComparisonMain.SEED), greaterThanOrEqualTo(0.95));
+			double mean = LongStream.rangeClosed(1, 10)
+				.mapToDouble((seed) -> worstTeamShare(deployment, seed))
+				.average()
+				.orElseThrow();
+			assertThat(deployment.name() + ", mean of seeds 1 to 10", mean, greaterThanOrEqualTo(0.95));
+		}
+	}
+
+	private static double worstTeamShare(Deployment deployment, long seed) {
+		return new PoolComparison(deployment, Scenario.ONE_TEAM_FIVEFOLD, SlotPolicy.BROKER, seed).run()
+			.worstTeamShare();
+	}
+
 	/**
 	 * Guards against refusals within rate and against over-grants.
 	 */
