Count wasted prefill as a cause of budget burn

Cause: the burn report could not name wasted prefill, which was counted in metrics only. Ruled out: counting it as a failed request; a request whose prefill is wasted once can still be answered in time and would count twice. Change: BurnCounters.event counts a cause without a request. Measured: eventCountsACauseWithoutARequest passes; it does not compile before.

--- a/core/src/main/java/org/banyanstile/core/burn/BurnCounters.java
+++ b/core/src/main/java/org/banyanstile/core/burn/BurnCounters.java
@@ -58,6 +58,19 @@
 		count(key, cause, now);
 	}
 
+	/**
+	 * Counts an event that uses up the budget of a cause, but does not decide whether its
+	 * request meets the objective.
+	 * @param key the series
+	 * @param cause the cause
+	 * @param now the current time in nanoseconds
+	 */
+	public void event(BurnKey key, Cause cause, long now) {
+		synchronized (this.lock) {
+			series(key, now).event(cause, now);
+		}
+	}
+
 	/**
 	 * Returns the counts of all series in a window.
 	 * @param window the window
@@ -74,9 +87,13 @@
 
 	private void count(BurnKey key, @Nullable Cause cause, long now) {
 		synchronized (this.lock) {
-			BurnKey used = (this.series.containsKey(key) || this.series.size() < this.maxSeries) ? key : OTHER;
-			this.series.computeIfAbsent(used, (id) -> new BurnSeries(now)).count(cause, now);
+			series(key, now).count(cause, now);
 		}
 	}
 
+	private BurnSeries series(BurnKey key, long now) {
+		BurnKey used = (this.series.containsKey(key) || this.series.size() < this.maxSeries) ? key : OTHER;
+		return this.series.computeIfAbsent(used, (id) -> new BurnSeries(now));
+	}
+
 }
--- a/core/src/main/java/org/banyanstile/core/burn/BurnSeries.java
+++ b/core/src/main/java/org/banyanstile/core/burn/BurnSeries.java
@@ -29,9 +29,16 @@
 		for (Ring ring : this.rings) {
 			ring.advance(now);
 			ring.counts[ring.base()]++;
-			if (cause != null) {
-				ring.counts[ring.base() + 1 + cause.ordinal()]++;
-			}
+		}
+		if (cause != null) {
+			event(cause, now);
+		}
+	}
+
+	void event(Cause cause, long now) {
+		for (Ring ring : this.rings) {
+			ring.advance(now);
+			ring.counts[ring.base() + 1 + cause.ordinal()]++;
 		}
 	}
 
--- a/core/src/test/java/org/banyanstile/core/burn/BurnCountersTests.java
+++ b/core/src/test/java/org/banyanstile/core/burn/BurnCountersTests.java
@@ -41,6 +41,19 @@
 		assertThat(counters.report(BurnWindow.THREE_DAYS, TimeUnit.DAYS.toNanos(4)).get(KEY).requests(), equalTo(0L));
 	}
 
+	/**
+	 * Guards against a wasted prefill that counts its request twice.
+	 */
+	@Test
+	void eventCountsACauseWithoutARequest() {
+		BurnCounters counters = BurnCounters.create(10);
+		counters.event(KEY, Cause.WASTED_PREFILL, 0);
+		counters.good(KEY, 0);
+		BurnReport report = counters.report(BurnWindow.FIVE_MINUTES, 0).get(KEY);
+		assertThat(report.requests(), equalTo(1L));
+		assertThat(report.bad().get(Cause.WASTED_PREFILL), equalTo(1L));
+	}
+
 	/**
 	 * Guards against memory that grows with the number of teams.
 	 */
--- a/server/src/main/java/org/banyanstile/server/caller/RequestMetrics.java
+++ b/server/src/main/java/org/banyanstile/server/caller/RequestMetrics.java
@@ -129,6 +129,7 @@
 	void prefillWasted(RequestLabels labels, int tokens) {
 		count("banyanstile.prefill.wasted", labels);
 		this.registry.counter("banyanstile.prefill.wasted.tokens", labels.tags()).increment(tokens);
+		this.burn.event(labels.burnKey(), Cause.WASTED_PREFILL, this.ticker.nanos());
 	}
 
 	void transferRerouted(RequestLabels labels) {
