Expose the state and counters of the coordination as metrics

Cause: malformed frames, failed handshakes, store calls and the serving state were counted but not in the scrape, although operators are told to look there. Ruled out: log lines for each event; counters come first.

--- a/server/src/main/java/org/banyanstile/server/Daemon.java
+++ b/server/src/main/java/org/banyanstile/server/Daemon.java
@@ -93,6 +93,7 @@
 		this.callers = CallerServer.start(Addresses.parse(settings.callerAddress()), settings.workers(),
 				services(requests), requests.members());
 		if (parts != null) {
+			parts.bindMetrics(this.registry);
 			parts.start();
 			this.operators = OperatorServer.start(Addresses.parse(settings.operatorAddress()),
 					settings.operatorTokenHash(), parts.rollout(), () -> parts.status(this.callers.running()),
--- a/server/src/main/java/org/banyanstile/server/FleetParts.java
+++ b/server/src/main/java/org/banyanstile/server/FleetParts.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.banyanstile.config.FleetConfiguration;
@@ -175,6 +176,10 @@
 		return this.rollout;
 	}
 
+	void bindMetrics(MeterRegistry registry) {
+		FleetMetrics.bind(registry, this.coordination, this.loop, this.peers.counters(), this::mayServe);
+	}
+
 	/**
 	 * Binds the address for other VMs and starts all threads.
 	 * @throws IOException if the address cannot be bound
