Make the cost of a slot grant independent of the number of teams

Cause: read over once more, RecentShares rewrote its whole map at each grant and summed all weights for each queued team that was tested, inside the broker's lock: up to 1,000 entries at the target's 13,000 teams. Ruled out: judging a team by the held slots, which needs a count kept through every path by which a slot ends. Change: a growing unit in place of decay; totals are kept, and teams that were granted next to nothing are forgotten each 64 grants.

--- a/core/src/main/java/org/banyanstile/core/admission/RecentShares.java
+++ b/core/src/main/java/org/banyanstile/core/admission/RecentShares.java
@@ -6,7 +6,10 @@
 import org.banyanstile.core.common.TeamId;
 
 /**
- * Shares of the teams in the tokens granted lately. Not safe for use by several threads.
+ * Shares of the teams in the tokens granted lately. Older grants count less: instead of
+ * reducing all of them at each grant, each new grant counts more than the one before, so
+ * that the cost of a grant does not depend on the number of teams. Not safe for use by
+ * several threads.
  *
  * @author banyanstile contributors
  */
@@ -30,16 +33,47 @@
 	 */
 	private static final double EXCESS = 1.1;
 
+	private static final double GROWTH = 1 / (1 - 1 / MEAN_OVER);
+
+	/**
+	 * Grants between two clean-ups. The unit grows by less than 1.14 in that time.
+	 */
+	private static final int CLEAN_UP_AFTER = 64;
+
 	private final Map<TeamId, Granted> teams = new HashMap<>();
 
+	private double unit = 1;
+
 	private double total;
 
+	private double weights;
+
+	private int grants;
+
 	void granted(SlotRequest request) {
-		this.total = this.total * (1 - 1 / MEAN_OVER) + request.cost();
-		this.teams.replaceAll((team, granted) -> granted.decayed());
-		this.teams.merge(request.team(), new Granted(request.cost(), request.weight()),
-				(old, added) -> new Granted(old.tokens() + added.tokens(), added.weight()));
+		this.unit *= GROWTH;
+		double tokens = request.cost() * this.unit;
+		Granted old = this.teams.get(request.team());
+		double before = (old != null) ? old.tokens() : 0;
+		this.weights += request.weight() - ((old != null) ? old.weight() : 0);
+		this.teams.put(request.team(), new Granted(before + tokens, request.weight()));
+		this.total += tokens;
+		if (++this.grants == CLEAN_UP_AFTER) {
+			cleanUp();
+		}
+	}
+
+	/**
+	 * Forgets teams that were granted next to nothing, and counts in units of the latest
+	 * grant again, so that no number grows without bound.
+	 */
+	private void cleanUp() {
 		this.teams.values().removeIf((granted) -> granted.tokens() < NEGLIGIBLE * this.total);
+		this.teams.replaceAll((team, granted) -> new Granted(granted.tokens() / this.unit, granted.weight()));
+		this.weights = this.teams.values().stream().mapToDouble(Granted::weight).sum();
+		this.total /= this.unit;
+		this.unit = 1;
+		this.grants = 0;
 	}
 
 	/**
@@ -49,26 +83,18 @@
 	 */
 	boolean isAboveShare(SlotRequest request) {
 		Granted own = this.teams.get(request.team());
-		if (own == null) {
-			return false;
-		}
-		double weights = this.teams.values().stream().mapToDouble(Granted::weight).sum();
-		return own.tokens() * weights > EXCESS * this.total * own.weight();
+		return own != null && own.tokens() * this.weights > EXCESS * this.total * own.weight();
 	}
 
 	/**
 	 * Tokens granted to a team.
 	 *
-	 * @param tokens the tokens, older ones counted less
+	 * @param tokens the tokens in units of an old grant
 	 * @param weight weight of the team
 	 * @author banyanstile contributors
 	 */
 	private record Granted(double tokens, double weight) {
 
-		Granted decayed() {
-			return new Granted(this.tokens * (1 - 1 / MEAN_OVER), this.weight);
-		}
-
 	}
 
 }
