--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/catalog/EngineTraits.java
@@ -0,0 +1,17 @@
+package org.banyanstile.core.catalog;
+
+/**
+ * What the engines of a service can do.
+ *
+ * @param slots requests that one engine runs at once
+ * @param memoryTokens tokens that fit into the KV memory of one engine
+ * @param handleMillis how long the KV cache of a prefilled prompt is kept for a decode
+ * engine
+ * @param roleChangeMillis how long an engine is out of service when its role changes
+ * @param maxReservationMillis longest life of a reservation
+ * @author banyanstile contributors
+ */
+public record EngineTraits(int slots, long memoryTokens, long handleMillis, long roleChangeMillis,
+		long maxReservationMillis) {
+
+}
--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
@@ -0,0 +1,164 @@
+package org.banyanstile.core.limit;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Token limit of one team over all VMs without an owner. Each VM keeps the bucket of the
+ * whole fleet: it takes off its own use at once and the use of other VMs as they report
+ * it. A VM that does not report is assumed to use an equal share of the rate, which is
+ * also what it can use for long if it hears nobody, so the sum stays bounded across a
+ * partition. Not safe for use by several threads.
+ *
+ * @author banyanstile contributors
+ */
+public final class SharedQuota {
+
+	/**
+	 * Time without a report after which use is assumed. Four rounds of 250 ms between
+	 * VMs.
+	 */
+	static final long SILENT_NANOS = 1_000_000_000L;
+
+	private static final double NANOS = 1e9;
+
+	private double rate;
+
+	private double burst;
+
+	private double level;
+
+	private long at;
+
+	private long used;
+
+	private final Map<String, Peer> peers = new HashMap<>();
+
+	private SharedQuota(double rate, double burst, long now) {
+		this.rate = rate;
+		this.burst = burst;
+		this.at = now;
+	}
+
+	/**
+	 * Creates an empty bucket, since a VM that starts does not know what was used just
+	 * before.
+	 * @param rate tokens a second of all VMs
+	 * @param burst capacity of the bucket in tokens
+	 * @param now the current time in nanoseconds
+	 * @return the quota
+	 */
+	public static SharedQuota empty(double rate, double burst, long now) {
+		return new SharedQuota(rate, burst, now);
+	}
+
+	/**
+	 * Changes the limit.
+	 * @param newRate tokens a second of all VMs
+	 * @param newBurst capacity of the bucket in tokens
+	 * @param now the current time in nanoseconds
+	 */
+	public void setLimit(double newRate, double newBurst, long now) {
+		refill(now);
+		this.rate = newRate;
+		this.burst = newBurst;
+		this.level = Math.min(this.level, newBurst);
+	}
+
+	/**
+	 * Takes tokens if there are enough. A request larger than the bucket passes when the
+	 * bucket is full.
+	 * @param tokens the tokens
+	 * @param now the current time in nanoseconds
+	 * @return 0 if they were taken, else the time in nanoseconds until there may be
+	 * enough
+	 */
+	public long take(long tokens, long now) {
+		refill(now);
+		double needed = Math.min(tokens, this.burst);
+		if (this.level + 1e-6 < needed) {
+			return Math.max(1, (long) ((needed - this.level) / Math.max(1, this.rate) * NANOS));
+		}
+		this.level -= tokens;
+		this.used += tokens;
+		return 0;
+	}
+
+	/**
+	 * Gives back tokens of a request that no endpoint ran.
+	 * @param tokens the tokens
+	 */
+	public void giveBack(long tokens) {
+		this.level = Math.min(this.burst, this.level + tokens);
+		this.used -= tokens;
+	}
+
+	/**
+	 * Returns the tokens that this VM has used since its start.
+	 * @return the tokens
+	 */
+	public long used() {
+		return this.used;
+	}
+
+	/**
+	 * Takes the use of another VM into account.
+	 * @param vm the VM
+	 * @param incarnation its incarnation
+	 * @param total tokens that it has used since its start
+	 * @param now the current time in nanoseconds
+	 */
+	public void report(String vm, long incarnation, long total, long now) {
+		refill(now);
+		Peer peer = this.peers.get(vm);
+		if (peer == null || peer.incarnation != incarnation) {
+			peer = new Peer();
+			peer.incarnation = incarnation;
+			peer.reported = total;
+			this.peers.put(vm, peer);
+		}
+		this.level = Math.min(this.burst, this.level - (total - peer.reported) + peer.assumed);
+		peer.reported = total;
+		peer.assumed = 0;
+		peer.heard = now;
+	}
+
+	/**
+	 * Forgets a VM that has left.
+	 * @param vm the VM
+	 */
+	public void forget(String vm) {
+		this.peers.remove(vm);
+	}
+
+	private void refill(long now) {
+		double seconds = Math.max(0, now - this.at) / NANOS;
+		double share = this.rate / (this.peers.size() + 1);
+		for (Peer peer : this.peers.values()) {
+			long silentSince = peer.heard + SILENT_NANOS;
+			double silent = Math.min(Math.max(0, now - silentSince) / NANOS, seconds);
+			peer.assumed += silent * share;
+			this.level -= silent * share;
+		}
+		this.level = Math.min(this.burst, this.level + seconds * this.rate);
+		this.at = Math.max(this.at, now);
+	}
+
+	/**
+	 * What is known of another VM.
+	 *
+	 * @author banyanstile contributors
+	 */
+	private static final class Peer {
+
+		private long incarnation;
+
+		private long reported;
+
+		private long heard;
+
+		private double assumed;
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/placement/EndpointPicker.java
@@ -0,0 +1,137 @@
+package org.banyanstile.core.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Orders endpoints for a request. Several VMs choose at the same time by reports that are
+ * some hundred milliseconds old, so a little chance keeps them from all choosing the same
+ * endpoint.
+ *
+ * @author banyanstile contributors
+ */
+public final class EndpointPicker {
+
+	/**
+	 * Largest share of random noise in a score. Enough to reorder endpoints whose load
+	 * differs by one or two requests.
+	 */
+	static final double NOISE = 0.25;
+
+	/**
+	 * Typical time of a plain call in milliseconds, for endpoints without an answer yet.
+	 */
+	static final double TYPICAL_MILLIS = 90;
+
+	private final EndpointLoads loads;
+
+	private final EndpointHealth health;
+
+	private final RandomGenerator random;
+
+	private EndpointPicker(EndpointLoads loads, EndpointHealth health, RandomGenerator random) {
+		this.loads = loads;
+		this.health = health;
+		this.random = random;
+	}
+
+	/**
+	 * Creates a picker.
+	 * @param loads work at the endpoints
+	 * @param health health of the endpoints
+	 * @param random source of random numbers
+	 * @return the picker
+	 */
+	public static EndpointPicker create(EndpointLoads loads, EndpointHealth health, RandomGenerator random) {
+		return new EndpointPicker(loads, health, random);
+	}
+
+	/**
+	 * Chooses the endpoint that is expected to answer first.
+	 * @param candidates the endpoints of the service
+	 * @param tried ids that were tried before; chosen only if nothing else is left
+	 * @param now the current time in nanoseconds
+	 * @return the endpoint, or {@code null} if there is none
+	 */
+	public @Nullable RegisteredEndpoint fastest(List<RegisteredEndpoint> candidates, Set<String> tried, long now) {
+		RegisteredEndpoint best = null;
+		double lowest = Double.MAX_VALUE;
+		for (RegisteredEndpoint endpoint : candidates) {
+			double score = expectedMillis(endpoint) * (1 + NOISE * this.random.nextDouble());
+			if (!this.health.isUsable(endpoint.id(), now)) {
+				score *= 100;
+			}
+			if (tried.contains(endpoint.id())) {
+				score *= 10_000;
+			}
+			if (score < lowest) {
+				lowest = score;
+				best = endpoint;
+			}
+		}
+		return best;
+	}
+
+	private double expectedMillis(RegisteredEndpoint endpoint) {
+		double waiting = this.loads.total(endpoint.id()).requests() + 1.0;
+		double cost = this.health.cost(endpoint.id(), TYPICAL_MILLIS);
+		return cost * Math.max(1, waiting / Math.max(1, endpoint.capacity())) + 0.1 * cost * waiting;
+	}
+
+	/**
+	 * Chooses the prefill engine with the fewest tokens to read.
+	 * @param engines the prefill engines
+	 * @param tried ids that were tried before, which are left out
+	 * @param now the current time in nanoseconds
+	 * @return the engine, or {@code null} if none is usable
+	 */
+	public @Nullable RegisteredEndpoint leastTokens(List<RegisteredEndpoint> engines, Set<String> tried, long now) {
+		List<RegisteredEndpoint> usable = new ArrayList<>();
+		for (RegisteredEndpoint engine : engines) {
+			if (!tried.contains(engine.id()) && this.health.isUsable(engine.id(), now)) {
+				usable.add(engine);
+			}
+		}
+		List<RegisteredEndpoint> ordered = ordered(usable, 1000);
+		return ordered.isEmpty() ? null : ordered.get(0);
+	}
+
+	/**
+	 * Orders decode engines by the memory that is expected to be free, most first.
+	 * @param engines the decode engines
+	 * @param memoryTokens tokens that fit into the memory of one engine
+	 * @param needed tokens that the request needs
+	 * @param now the current time in nanoseconds
+	 * @return the usable engines; those expected to be full come last
+	 */
+	public List<RegisteredEndpoint> mostFreeMemory(List<RegisteredEndpoint> engines, long memoryTokens, long needed,
+			long now) {
+		List<RegisteredEndpoint> usable = new ArrayList<>();
+		for (RegisteredEndpoint engine : engines) {
+			if (this.health.isUsable(engine.id(), now) && needed <= memoryTokens) {
+				usable.add(engine);
+			}
+		}
+		return ordered(usable, needed);
+	}
+
+	private List<RegisteredEndpoint> ordered(List<RegisteredEndpoint> engines, long unit) {
+		Map<String, Double> scores = new HashMap<>();
+		for (RegisteredEndpoint engine : engines) {
+			EndpointLoads.Load load = this.loads.total(engine.id());
+			scores.put(engine.id(), load.tokens() + this.random.nextDouble() * unit);
+		}
+		List<RegisteredEndpoint> sorted = new ArrayList<>(engines);
+		sorted.sort(Comparator.comparingDouble((RegisteredEndpoint engine) -> scores.get(engine.id())));
+		return sorted;
+	}
+
+}
--- a/io/src/main/java/org/banyanstile/io/http/HttpClient.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpClient.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.LongAdder;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -49,7 +50,9 @@
 
 	private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
 
-	private final Map<String, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
+	private final Map<String, Deque<IdleConnection>> idle = new ConcurrentHashMap<>();
+
+	private final LongAdder connects = new LongAdder();
 
 	private HttpClient(XnioWorker worker) {
 		this.worker = worker;
@@ -83,9 +86,25 @@
 	 * @throws HttpException if no response head arrived
 	 */
 	public HttpResponse send(HttpRequest request) throws HttpException {
+		return send(request, new CallHandle());
+	}
+
+	/**
+	 * Sends a request that another thread can cancel, and waits for the head of the
+	 * response.
+	 * @param request the request
+	 * @param handle cancels the call; it can be used again after the call
+	 * @return the response, which the caller must close
+	 * @throws ConnectFailedException if no connection was made, so nothing was sent
+	 * @throws HttpException if no response head arrived
+	 */
+	public HttpResponse send(HttpRequest request, CallHandle handle) throws HttpException {
 		ClientConnection connection = connection(request);
 		boolean done = false;
 		try {
+			if (!handle.begin(connection)) {
+				throw new ConnectFailedException("the call to " + request.address() + " was cancelled", null);
+			}
 			HttpResponse response = exchange(request, connection);
 			done = true;
 			return response;
@@ -108,16 +127,19 @@
 		ClientExchange exchange = await(started, request);
 		writeBody(request, exchange.getRequestChannel());
 		await(answered, request);
-		return new HttpResponse(this, request.address(), connection, exchange.getResponse(),
-				exchange.getResponseChannel(), request.timeout());
+		return new HttpResponse(this, request, connection, exchange.getResponse(), exchange.getResponseChannel());
 	}
 
 	private static ClientRequest head(HttpRequest request) {
 		ClientRequest head = new ClientRequest().setMethod(HttpString.tryFromString(request.method()))
 			.setPath(request.path());
 		request.headers().forEach((name, value) -> head.getRequestHeaders().put(new HttpString(name), value));
-		head.getRequestHeaders().put(Headers.HOST, request.address());
-		head.getRequestHeaders().put(Headers.CONTENT_LENGTH, request.body().length);
+		if (!head.getRequestHeaders().contains(Headers.HOST)) {
+			head.getRequestHeaders().put(Headers.HOST, request.address());
+		}
+		if (request.body().length > 0 || !request.method().equals("GET")) {
+			head.getRequestHeaders().put(Headers.CONTENT_LENGTH, request.body().length);
+		}
 		return head;
 	}
 
@@ -162,27 +184,43 @@
 	}
 
 	private ClientConnection connection(HttpRequest request) throws ConnectFailedException {
-		ClientConnection pooled = request.freshConnection() ? null : pooled(request.address());
-		return (pooled != null) ? pooled : connect(request.address(), request.timeout());
+		ClientConnection pooled = pooled(request);
+		return (pooled != null) ? pooled : connect(request.address(), request.connectTimeout());
 	}
 
-	private @Nullable ClientConnection pooled(String address) {
-		Deque<ClientConnection> connections = this.idle.get(address);
-		if (connections == null) {
+	private @Nullable ClientConnection pooled(HttpRequest request) {
+		Deque<IdleConnection> connections = this.idle.get(key(request));
+		if (connections == null || request.maxIdle().isZero()) {
+			return null;
+		}
+		long now = System.nanoTime();
+		IdleConnection newest = connections.pollFirst();
+		while (newest != null && !newest.connection().isOpen()) {
+			newest = connections.pollFirst();
+		}
+		if (newest == null) {
 			return null;
 		}
-		ClientConnection connection = connections.pollFirst();
-		while (connection != null && !connection.isOpen()) {
-			connection = connections.pollFirst();
+		if (now - newest.since() > request.maxIdle().toNanos()) {
+			connections.addFirst(newest);
+			return null;
 		}
-		return connection;
+		return newest.connection();
+	}
+
+	private static String key(HttpRequest request) {
+		return request.pool() + '@' + request.address();
 	}
 
 	private ClientConnection connect(String address, Duration timeout) throws ConnectFailedException {
+		this.connects.increment();
 		IoFuture<ClientConnection> future = UndertowClient.getInstance()
 			.connect(URI.create("http://" + address), this.worker, this.buffers, OptionMap.EMPTY);
 		if (future.await(timeout.toMillis(), TimeUnit.MILLISECONDS) != IoFuture.Status.DONE) {
 			future.cancel();
+			// The connection can be made between the end of the wait and the
+			// cancellation.
+			future.addNotifier(new CloseLateConnection(), null);
 			throw new ConnectFailedException("no connection to " + address, failure(future));
 		}
 		try {
@@ -193,18 +231,41 @@
 		}
 	}
 
+	/**
+	 * Returns the number of connections that were opened or tried.
+	 * @return the number
+	 */
+	public long connects() {
+		return this.connects.sum();
+	}
+
 	private static @Nullable IOException failure(IoFuture<ClientConnection> future) {
 		return (future.getStatus() == IoFuture.Status.FAILED) ? future.getException() : null;
 	}
 
-	void release(String address, ClientConnection connection, boolean reusable) {
-		Deque<ClientConnection> connections = this.idle.computeIfAbsent(address,
+	void release(HttpRequest request, ClientConnection connection, boolean reusable) {
+		Deque<IdleConnection> connections = this.idle.computeIfAbsent(key(request),
 				(key) -> new ConcurrentLinkedDeque<>());
 		if (!reusable || !connection.isOpen() || connections.size() >= MAX_IDLE_PER_PEER) {
 			IoUtils.safeClose(connection);
 			return;
 		}
-		connections.addFirst(connection);
+		connections.addFirst(new IdleConnection(connection, System.nanoTime()));
+	}
+
+	/**
+	 * Closes the connections that have been idle for longer than a time.
+	 * @param age the time
+	 */
+	public void closeIdle(Duration age) {
+		long oldest = System.nanoTime() - age.toNanos();
+		for (Deque<IdleConnection> connections : this.idle.values()) {
+			IdleConnection last = connections.peekLast();
+			while (last != null && last.since() < oldest && connections.removeLastOccurrence(last)) {
+				IoUtils.safeClose(last.connection());
+				last = connections.peekLast();
+			}
+		}
 	}
 
 	/**
@@ -212,7 +273,8 @@
 	 */
 	@Override
 	public void close() {
-		this.idle.values().forEach((connections) -> connections.forEach(IoUtils::safeClose));
+		this.idle.values()
+			.forEach((connections) -> connections.forEach((pooled) -> IoUtils.safeClose(pooled.connection())));
 		this.worker.shutdownNow();
 	}
 
@@ -260,4 +322,27 @@
 
 	}
 
+	/**
+	 * A pooled connection.
+	 *
+	 * @param connection the connection
+	 * @param since {@link System#nanoTime()} at the end of its last use
+	 * @author banyanstile contributors
+	 */
+	private record IdleConnection(ClientConnection connection, long since) {
+
+	}
+
+	/**
+	 * Closes a connection that nobody waits for any more.
+	 */
+	private static final class CloseLateConnection extends IoFuture.HandlingNotifier<ClientConnection, Object> {
+
+		@Override
+		public void handleDone(ClientConnection connection, Object attachment) {
+			IoUtils.safeClose(connection);
+		}
+
+	}
+
 }
--- a/io/src/main/java/org/banyanstile/io/http/HttpRequest.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpRequest.java
@@ -15,17 +15,42 @@
  * @param headers header fields
  * @param body the body, empty for none
  * @param timeout longest wait for the connection, and again for the response head
- * @param freshConnection whether a new connection must be used; a pooled one can break
- * after the request was sent, which leaves the outcome of a non-idempotent call unknown
+ * @param connectTimeout longest wait for a new connection
+ * @param maxIdle a pooled connection is used only if it was in use less than this long
+ * ago; zero asks for a new connection. A pooled one can break after the request was sent,
+ * which leaves the outcome of a non-idempotent call unknown
+ * @param pool name of the pool; an answer that arrives late on a pooled connection can
+ * only meet requests of the same pool
  * @author banyanstile contributors
  */
 public record HttpRequest(String method, String address, String path, Map<String, String> headers, byte[] body,
-		Duration timeout, boolean freshConnection) {
+		Duration timeout, Duration connectTimeout, Duration maxIdle, String pool) {
+
+	/**
+	 * Idle time below which most servers keep a connection open.
+	 */
+	public static final Duration DEFAULT_MAX_IDLE = Duration.ofSeconds(30);
 
 	private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(5);
 
 	private static final byte[] NO_BODY = new byte[0];
 
+	/**
+	 * Creates a request for the default pool.
+	 * @param method the request method
+	 * @param address address of the peer as {@code ip:port}
+	 * @param path path with query
+	 * @param headers header fields
+	 * @param body the body, empty for none
+	 * @param timeout longest wait for the connection, and again for the response head
+	 * @param freshConnection whether a new connection must be used
+	 */
+	public HttpRequest(String method, String address, String path, Map<String, String> headers, byte[] body,
+			Duration timeout, boolean freshConnection) {
+		this(method, address, path, headers, body, timeout, timeout, freshConnection ? Duration.ZERO : DEFAULT_MAX_IDLE,
+				"");
+	}
+
 	/**
 	 * Returns a request without a body.
 	 * @param address address of the peer as {@code ip:port}
@@ -57,8 +82,8 @@
 	public HttpRequest withHeader(String name, String value) {
 		Map<String, String> all = new LinkedHashMap<>(this.headers);
 		all.put(name, value);
-		return new HttpRequest(this.method, this.address, this.path, all, this.body, this.timeout,
-				this.freshConnection);
+		return new HttpRequest(this.method, this.address, this.path, all, this.body, this.timeout, this.connectTimeout,
+				this.maxIdle, this.pool);
 	}
 
 	/**
@@ -68,7 +93,7 @@
 	 */
 	public HttpRequest withMethod(String method) {
 		return new HttpRequest(method, this.address, this.path, this.headers, this.body, this.timeout,
-				this.freshConnection);
+				this.connectTimeout, this.maxIdle, this.pool);
 	}
 
 	/**
@@ -77,8 +102,8 @@
 	 * @return the copy
 	 */
 	public HttpRequest withTimeout(Duration timeout) {
-		return new HttpRequest(this.method, this.address, this.path, this.headers, this.body, timeout,
-				this.freshConnection);
+		return new HttpRequest(this.method, this.address, this.path, this.headers, this.body, timeout, timeout,
+				this.maxIdle, this.pool);
 	}
 
 	/**
@@ -86,7 +111,37 @@
 	 * @return the copy
 	 */
 	public HttpRequest withFreshConnection() {
-		return new HttpRequest(this.method, this.address, this.path, this.headers, this.body, this.timeout, true);
+		return withMaxIdle(Duration.ZERO);
+	}
+
+	/**
+	 * Returns a copy with another limit on the idle time of a pooled connection.
+	 * @param maxIdle the limit, zero for a new connection
+	 * @return the copy
+	 */
+	public HttpRequest withMaxIdle(Duration maxIdle) {
+		return new HttpRequest(this.method, this.address, this.path, this.headers, this.body, this.timeout,
+				this.connectTimeout, maxIdle, this.pool);
+	}
+
+	/**
+	 * Returns a copy with another longest wait for a new connection.
+	 * @param connectTimeout the time
+	 * @return the copy
+	 */
+	public HttpRequest withConnectTimeout(Duration connectTimeout) {
+		return new HttpRequest(this.method, this.address, this.path, this.headers, this.body, this.timeout,
+				connectTimeout, this.maxIdle, this.pool);
+	}
+
+	/**
+	 * Returns a copy that uses another pool of connections.
+	 * @param pool name of the pool
+	 * @return the copy
+	 */
+	public HttpRequest withPool(String pool) {
+		return new HttpRequest(this.method, this.address, this.path, this.headers, this.body, this.timeout,
+				this.connectTimeout, this.maxIdle, pool);
 	}
 
 }
--- a/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
@@ -5,10 +5,14 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientResponse;
+import io.undertow.util.HeaderValues;
 import org.jspecify.annotations.Nullable;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -27,6 +31,8 @@
 
 	private final HttpClient client;
 
+	private final HttpRequest request;
+
 	private final String address;
 
 	private final ClientConnection connection;
@@ -41,16 +47,19 @@
 
 	private boolean ended;
 
+	private boolean reusable = true;
+
 	private boolean closed;
 
-	HttpResponse(HttpClient client, String address, ClientConnection connection, ClientResponse response,
-			StreamSourceChannel channel, Duration timeout) {
+	HttpResponse(HttpClient client, HttpRequest request, ClientConnection connection, ClientResponse response,
+			StreamSourceChannel channel) {
 		this.client = client;
-		this.address = address;
+		this.request = request;
+		this.address = request.address();
 		this.connection = connection;
 		this.response = response;
 		this.channel = channel;
-		this.timeout = timeout;
+		this.timeout = request.timeout();
 	}
 
 	/**
@@ -70,6 +79,42 @@
 		return this.response.getResponseHeaders().getFirst(name);
 	}
 
+	/**
+	 * Returns the header fields in their order.
+	 * @return names and values
+	 */
+	public List<Map.Entry<String, String>> headers() {
+		List<Map.Entry<String, String>> all = new ArrayList<>();
+		for (HeaderValues values : this.response.getResponseHeaders()) {
+			for (String value : values) {
+				all.add(Map.entry(values.getHeaderName().toString(), value));
+			}
+		}
+		return all;
+	}
+
+	/**
+	 * Marks the connection as unfit for another request.
+	 */
+	public synchronized void discard() {
+		this.reusable = false;
+	}
+
+	/**
+	 * Waits for more bytes of the body.
+	 * @return the bytes, which are valid until the next call, or {@code null} at the end
+	 * of the body
+	 * @throws HttpException if the connection broke or was too slow
+	 */
+	public @Nullable ByteBuffer next() throws HttpException {
+		if (!fill()) {
+			return null;
+		}
+		ByteBuffer bytes = this.buffer.duplicate();
+		this.buffer.position(this.buffer.limit());
+		return bytes;
+	}
+
 	/**
 	 * Sets the longest time that a read waits for more bytes.
 	 * @param timeout the time
@@ -140,7 +185,7 @@
 			return;
 		}
 		this.closed = true;
-		this.client.release(this.address, this.connection, this.ended);
+		this.client.release(this.request, this.connection, this.ended && this.reusable);
 	}
 
 	private boolean fill() throws HttpException {
--- a/server/src/main/java/org/banyanstile/server/caller/CallerConnection.java
+++ b/server/src/main/java/org/banyanstile/server/caller/CallerConnection.java
@@ -13,13 +13,17 @@
  *
  * @author banyanstile contributors
  */
-final class CallerConnection {
+public final class CallerConnection {
 
 	private final HttpServerExchange exchange;
 
 	private boolean polled = true;
 
-	CallerConnection(HttpServerExchange exchange) {
+	/**
+	 * Begins to poll the connection of an exchange.
+	 * @param exchange the exchange, whose request was read completely
+	 */
+	public CallerConnection(HttpServerExchange exchange) {
 		this.exchange = exchange;
 	}
 
@@ -28,7 +32,7 @@
 	 * Bytes of a pipelined request are given back to the server, and polling ends.
 	 * @return whether it is closed
 	 */
-	synchronized boolean isClosed() {
+	public synchronized boolean isClosed() {
 		if (!this.polled) {
 			return false;
 		}
@@ -63,7 +67,7 @@
 	/**
 	 * Ends polling, before the server reads the next request.
 	 */
-	synchronized void stop() {
+	public synchronized void stop() {
 		this.polled = false;
 	}
 
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipLoad.java
@@ -0,0 +1,13 @@
+package org.banyanstile.server.gossip;
+
+/**
+ * Work of the sender at an endpoint.
+ *
+ * @param endpoint id of the endpoint
+ * @param requests number of requests
+ * @param tokens their tokens
+ * @author banyanstile contributors
+ */
+public record GossipLoad(String endpoint, int requests, long tokens) {
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -0,0 +1,394 @@
+package org.banyanstile.server.gossip;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+
+import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.replica.ReplicaRow;
+import org.banyanstile.io.frame.Message;
+import org.banyanstile.io.frame.MessageCodec;
+import org.banyanstile.server.router.DecisionLog;
+import org.banyanstile.server.view.FleetTable;
+import org.banyanstile.server.view.FleetView;
+import org.banyanstile.server.view.TableRead;
+
+/**
+ * Exchanges state with other VMs by datagrams: in each round with a few VMs, and at once
+ * with all of them after a change of the operator's table. Everything sent is idempotent,
+ * so lost, repeated and reordered datagrams do no harm.
+ *
+ * @author banyanstile contributors
+ */
+public final class GossipNode implements AutoCloseable {
+
+	private static final long ROUND_MILLIS = 250;
+
+	/**
+	 * VMs that get the state in a round. In a small fleet all do.
+	 */
+	private static final int FANOUT = 8;
+
+	private static final int MAX_DATAGRAM = 60_000;
+
+	private static final int MAX_ROW_BYTES = 1 << 20;
+
+	private static final int TABLES = FleetTable.values().length;
+
+	private final DatagramChannel channel;
+
+	private final Membership membership;
+
+	private final FleetView view;
+
+	private final LocalState local;
+
+	private final Ticker ticker;
+
+	private final DecisionLog log;
+
+	private final MessageCodec codec;
+
+	private final Random random = new Random();
+
+	private final ScheduledExecutorService timer;
+
+	private volatile Set<String> seeds = Set.of();
+
+	private volatile boolean closed;
+
+	private GossipNode(DatagramChannel channel, Membership membership, FleetView view, LocalState local, Ticker ticker,
+			DecisionLog log) {
+		this.channel = channel;
+		this.membership = membership;
+		this.view = view;
+		this.local = local;
+		this.ticker = ticker;
+		this.log = log;
+		this.codec = codec();
+		this.timer = Executors.newSingleThreadScheduledExecutor((body) -> {
+			Thread thread = new Thread(body, "gossip-timer");
+			thread.setDaemon(true);
+			return thread;
+		});
+	}
+
+	/**
+	 * Opens the socket and starts the rounds.
+	 * @param address address to listen at
+	 * @param membership the VMs of the fleet
+	 * @param view copy of the store's tables
+	 * @param local state of this VM
+	 * @param ticker time source
+	 * @param log log of changes
+	 * @return the node
+	 * @throws IOException if the address cannot be bound
+	 */
+	public static GossipNode start(InetSocketAddress address, Membership membership, FleetView view, LocalState local,
+			Ticker ticker, DecisionLog log) throws IOException {
+		DatagramChannel channel = DatagramChannel.open();
+		try {
+			channel.bind(address);
+		}
+		catch (IOException ex) {
+			channel.close();
+			throw ex;
+		}
+		GossipNode node = new GossipNode(channel, membership, view, local, ticker, log);
+		Thread receiver = new Thread(node::receive, "gossip-receiver");
+		receiver.setDaemon(true);
+		receiver.start();
+		var unused = node.timer.scheduleAtFixedRate(node::round, 0, ROUND_MILLIS, TimeUnit.MILLISECONDS);
+		view.onChange((table) -> {
+			if (table == FleetTable.OPERATOR) {
+				node.timer.execute(() -> node.send(node.allAddresses()));
+			}
+		});
+		return node;
+	}
+
+	private static MessageCodec codec() {
+		return MessageCodec.create()
+			.registerNested(GossipMember.class)
+			.registerNested(GossipLoad.class)
+			.registerNested(GossipUse.class)
+			.registerNested(GossipRow.class)
+			.register(GossipRows.class)
+			.register(GossipState.class);
+	}
+
+	/**
+	 * Adds addresses to try beside those of known VMs.
+	 * @param addresses addresses of VMs, which may be down
+	 */
+	public void addSeeds(Collection<String> addresses) {
+		Set<String> all = new LinkedHashSet<>(this.seeds);
+		all.addAll(addresses);
+		all.remove(this.membership.self().peerAddress());
+		this.seeds = all;
+	}
+
+	/**
+	 * Sends the state to all known VMs at once.
+	 */
+	public void announce() {
+		send(allAddresses());
+	}
+
+	private void round() {
+		try {
+			this.view.tick();
+			this.membership.beat(this.local.memberState());
+			List<String> targets = new ArrayList<>(allAddresses());
+			Collections.shuffle(targets, this.random);
+			send(targets.subList(0, Math.min(FANOUT, targets.size())));
+		}
+		catch (RuntimeException ex) {
+			this.log.problem("a round of gossip failed", ex);
+		}
+	}
+
+	private Set<String> allAddresses() {
+		Set<String> addresses = new LinkedHashSet<>();
+		this.membership.knownPeers().forEach((member) -> addresses.add(member.peerAddress()));
+		if (addresses.size() < 3 || this.random.nextInt(8) == 0) {
+			addresses.addAll(this.seeds);
+		}
+		return addresses;
+	}
+
+	private void send(Collection<String> targets) {
+		if (targets.isEmpty()) {
+			return;
+		}
+		try {
+			ByteBuffer datagram = ByteBuffer.wrap(this.codec.encode(new Message(Message.ONE_WAY, state(false))));
+			for (String target : targets) {
+				send(datagram.duplicate(), address(target));
+			}
+		}
+		catch (IOException ex) {
+			this.log.problem("the state for other VMs cannot be encoded", ex);
+		}
+	}
+
+	private GossipState state(boolean answered) {
+		List<Long> versions = new ArrayList<>();
+		List<Long> millis = new ArrayList<>();
+		for (FleetTable table : FleetTable.values()) {
+			versions.add(this.view.version(table));
+			millis.add(this.view.storeMillis(table));
+		}
+		return new GossipState(this.membership.self(), this.membership.alivePeers(this.ticker.nanos()),
+				this.local.loads(), this.local.uses(), this.local.crashes(), versions, millis, answered);
+	}
+
+	private void send(ByteBuffer datagram, SocketAddress target) {
+		if (datagram.remaining() > MAX_DATAGRAM) {
+			this.log.problem("a datagram for another VM is too large, it reads the store instead",
+					new IOException(datagram.remaining() + " bytes"));
+			return;
+		}
+		try {
+			this.channel.send(datagram, target);
+		}
+		catch (IOException ex) {
+			if (!this.closed) {
+				this.log.problem("a datagram to " + target + " was not sent", ex);
+			}
+		}
+	}
+
+	private static InetSocketAddress address(String text) {
+		int colon = text.lastIndexOf(':');
+		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+	}
+
+	private void receive() {
+		ByteBuffer buffer = ByteBuffer.allocate(65_536);
+		while (!this.closed) {
+			try {
+				buffer.clear();
+				SocketAddress sender = this.channel.receive(buffer);
+				if (sender == null) {
+					continue;
+				}
+				byte[] bytes = new byte[buffer.flip().remaining()];
+				buffer.get(bytes);
+				handle(this.codec.decode(bytes).payload(), sender);
+			}
+			catch (IOException | RuntimeException ex) {
+				if (!this.closed) {
+					this.log.problem("a datagram was ignored", ex);
+				}
+			}
+		}
+	}
+
+	private void handle(Object payload, SocketAddress sender) throws IOException {
+		if (payload instanceof GossipState state) {
+			received(state, sender);
+		}
+		else if (payload instanceof GossipRows rows) {
+			received(rows);
+		}
+	}
+
+	private void received(GossipState state, SocketAddress sender) throws IOException {
+		List<GossipMember> members = new ArrayList<>(state.members());
+		members.add(state.self());
+		this.membership.merge(members, this.ticker.nanos());
+		this.local.received(state);
+		boolean behind = false;
+		for (int i = 0; i < Math.min(TABLES, state.versions().size()); i++) {
+			FleetTable table = FleetTable.values()[i];
+			if (state.versions().get(i) < this.view.version(table)
+					|| state.millis().get(i) < this.view.storeMillis(table)) {
+				sendRows(table, state.versions().get(i), sender);
+			}
+			behind |= state.versions().get(i) > this.view.version(table)
+					|| state.millis().get(i) > this.view.storeMillis(table);
+		}
+		if (behind && !state.answered()) {
+			send(ByteBuffer.wrap(this.codec.encode(new Message(Message.ONE_WAY, state(true)))), sender);
+		}
+	}
+
+	private void sendRows(FleetTable table, long after, SocketAddress target) throws IOException {
+		boolean whole = !this.view.remembers(table, after);
+		TableRead read = this.view.changesAfter(table, after);
+		List<GossipRow> rows = new ArrayList<>();
+		for (ReplicaRow row : read.rows()) {
+			byte[] value = row.value();
+			rows.add(new GossipRow(row.key(), row.version(), (value != null) ? compress(value) : new byte[0]));
+		}
+		GossipRows message = new GossipRows(table.ordinal(), whole, after, read.version(), read.millis(), rows);
+		send(ByteBuffer.wrap(this.codec.encode(new Message(Message.ONE_WAY, message))), target);
+	}
+
+	private void received(GossipRows message) throws IOException {
+		List<ReplicaRow> rows = new ArrayList<>();
+		for (GossipRow row : message.rows()) {
+			rows.add(new ReplicaRow(row.key(), row.version(), (row.value().length > 0) ? expand(row.value()) : null));
+		}
+		TableRead read = new TableRead(rows, message.version(), message.millis());
+		FleetTable table = FleetTable.values()[message.table()];
+		if (message.whole()) {
+			this.view.replace(table, read);
+		}
+		else {
+			this.view.apply(table, message.after(), read);
+		}
+	}
+
+	private static byte[] compress(byte[] value) {
+		Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+		try {
+			deflater.setInput(value);
+			deflater.finish();
+			ByteArrayOutputStream out = new ByteArrayOutputStream(value.length / 2 + 64);
+			byte[] chunk = new byte[4096];
+			while (!deflater.finished()) {
+				out.write(chunk, 0, deflater.deflate(chunk));
+			}
+			return out.toByteArray();
+		}
+		finally {
+			deflater.end();
+		}
+	}
+
+	private static byte[] expand(byte[] value) throws IOException {
+		Inflater inflater = new Inflater();
+		try {
+			inflater.setInput(value);
+			ByteArrayOutputStream out = new ByteArrayOutputStream(value.length * 4);
+			byte[] chunk = new byte[4096];
+			while (!inflater.finished()) {
+				int n = inflater.inflate(chunk);
+				if (n == 0 || out.size() > MAX_ROW_BYTES) {
+					throw new IOException("truncated or oversized row");
+				}
+				out.write(chunk, 0, n);
+			}
+			return out.toByteArray();
+		}
+		catch (DataFormatException ex) {
+			throw new IOException("malformed compressed row", ex);
+		}
+		finally {
+			inflater.end();
+		}
+	}
+
+	/**
+	 * Ends the rounds and closes the socket.
+	 */
+	@Override
+	public void close() {
+		this.closed = true;
+		this.timer.shutdownNow();
+		try {
+			this.channel.close();
+		}
+		catch (IOException ex) {
+			this.log.problem("closing the socket for other VMs failed", ex);
+		}
+	}
+
+	/**
+	 * State of this VM that goes to the others, and what they say of theirs.
+	 *
+	 * @author banyanstile contributors
+	 */
+	public interface LocalState {
+
+		/**
+		 * Returns the present state of this VM.
+		 * @return its state
+		 */
+		MemberState memberState();
+
+		/**
+		 * Returns the work of this VM at endpoints.
+		 * @return its loads
+		 */
+		List<GossipLoad> loads();
+
+		/**
+		 * Returns the tokens that this VM has used.
+		 * @return its use by team
+		 */
+		List<GossipUse> uses();
+
+		/**
+		 * Returns digests of requests that crashed endpoints.
+		 * @return the digests
+		 */
+		List<Long> crashes();
+
+		/**
+		 * Learns the state of another VM.
+		 * @param state the state
+		 */
+		void received(GossipState state);
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -0,0 +1,334 @@
+package org.banyanstile.server.router;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.banyanstile.core.catalog.EndpointPhase;
+import org.banyanstile.core.catalog.EngineTraits;
+import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.banyanstile.io.http.HttpException;
+import org.banyanstile.io.http.HttpResponse;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Serves a generation: reserves memory at a decode engine, has the prompt read by a
+ * prefill engine, and passes the stream on as it arrives. A stream that breaks off goes
+ * on at another engine where the route allows it.
+ *
+ * @author banyanstile contributors
+ */
+final class GenerationRun {
+
+	private static final int SUCCESS = 200;
+
+	private static final int SERVER_ERROR = 500;
+
+	private static final int MAX_HANDLE_BYTES = 4096;
+
+	/**
+	 * Prefill engines that are tried for one prompt. Each further one takes a repeat from
+	 * the retry budget if the request arrived at the one before.
+	 */
+	private static final int PREFILL_TRIES = 3;
+
+	/**
+	 * Longest wait for a prefill engine, some times what the longest prompt takes on a
+	 * busy one.
+	 */
+	private static final long PREFILL_MILLIS = 2500;
+
+	/**
+	 * Silence after which a stream that may be resumed goes on elsewhere. Events of a
+	 * sound engine are 50 to 90 ms apart, and callers give up after two seconds or more.
+	 */
+	private static final long SILENCE_MILLIS = 1300;
+
+	/**
+	 * Ratio of reserved output to the caller's estimate, which is right at the median.
+	 */
+	private static final double OUTPUT_MARGIN = 1.25;
+
+	private static final Duration POOLED_IDLE = Duration.ofMillis(300);
+
+	private static final int URGENCY_ON_TIME = 4;
+
+	private static final int URGENCY_LATE = 7;
+
+	private final RouterServices services;
+
+	private final RouterCall call;
+
+	private final EngineTraits traits;
+
+	private final EventSplitter events = new EventSplitter();
+
+	private int runs;
+
+	private int arrivals;
+
+	private GenerationRun(RouterServices services, RouterCall call, EngineTraits traits) {
+		this.services = services;
+		this.call = call;
+		this.traits = traits;
+	}
+
+	static GenerationRun create(RouterServices services, RouterCall call, EngineTraits traits) {
+		return new GenerationRun(services, call, traits);
+	}
+
+	private long neededTokens() {
+		CallerFields fields = this.call.fields();
+		long output = fields.maxOutputTokens();
+		if (fields.expectedOutputTokens() >= 0) {
+			output = Math.min(output, (long) (OUTPUT_MARGIN * fields.expectedOutputTokens()));
+		}
+		return Math.max(0, fields.promptTokens()) + Math.max(1, output);
+	}
+
+	void serve() throws RefusalException, IOException {
+		String reason = "no engine took the request in time";
+		while (!this.call.isOver()) {
+			DecodePlace place = new DecodePlaces(this.services, this.call, this.traits, neededTokens()).await();
+			if (this.arrivals > 0 && !this.services.tryRepeat(this.call.service())) {
+				releaseReservation(place);
+				reason = "the retry budget is used up";
+				break;
+			}
+			this.services.loads().begin(place.engine().id(), place.tokens());
+			try {
+				if (decode(place)) {
+					return;
+				}
+				reason = "the stream broke off";
+				if (!mayRunAgain()) {
+					break;
+				}
+			}
+			catch (NotRunException ex) {
+				reason = ex.getMessage();
+				this.arrivals += ex.hasArrived() ? 1 : 0;
+				log(place.engine(), "not run", reason);
+			}
+			catch (UnknownOutcomeException ex) {
+				reason = ex.getMessage();
+				this.arrivals++;
+				this.runs++;
+				log(place.engine(), "unknown", reason);
+				if (!mayRunAgain()) {
+					break;
+				}
+			}
+			finally {
+				this.services.loads().end(place.engine().id(), place.tokens());
+				this.services.line(this.call.service()).memoryFreed();
+			}
+		}
+		fail(reason);
+	}
+
+	private boolean mayRunAgain() {
+		return this.call.route().isRepeatable() && this.runs < this.call.route().maxAttempts() && !this.call.isOver();
+	}
+
+	private void fail(String reason) throws RefusalException {
+		if (this.call.response().isStarted()) {
+			this.services.log()
+				.request("stream broken", this.call.id(), "reason", reason, "events", this.events.events(), "ageMillis",
+						this.call.ageMillis());
+			this.call.response().abort();
+			return;
+		}
+		if (this.runs == 0) {
+			throw RefusalException.notRun(reason, 1);
+		}
+		throw this.call.isOver() ? RefusalException.timedOut() : RefusalException.unknown(reason);
+	}
+
+	// Runs the request at a decode engine.
+	// @return whether the answer is complete
+	private boolean decode(DecodePlace place)
+			throws NotRunException, UnknownOutcomeException, RefusalException, IOException {
+		PrefilledPrompt prompt = prefill(place);
+		boolean sent = false;
+		try {
+			if (this.call.isOver() || !this.services.view().snapshot().isUsable(place.engine())) {
+				throw NotRunException.notSent("engine " + place.engine().id() + " left before the request was sent");
+			}
+			sent = true;
+			return stream(place, prompt);
+		}
+		catch (NotRunException ex) {
+			this.services.metrics().wastedPrompt(this.call.fields().promptTokens());
+			throw ex;
+		}
+		finally {
+			if (!sent) {
+				releaseReservation(place);
+				if (prompt != null) {
+					releaseHandle(prompt);
+				}
+			}
+		}
+	}
+
+	// Has the prompt read by a prefill engine.
+	// @return the prompt, or {@code null} if the decode engine has to read it
+	private @Nullable PrefilledPrompt prefill(DecodePlace place) {
+		Set<String> tried = new HashSet<>();
+		boolean repeat = this.runs > 0 || this.arrivals > 0;
+		for (int i = 0; i < PREFILL_TRIES && !this.call.isOver(); i++) {
+			List<RegisteredEndpoint> engines = this.services.view()
+				.snapshot()
+				.usable(this.call.service(), EndpointPhase.PREFILL);
+			RegisteredEndpoint engine = this.services.picker().leastTokens(engines, tried, System.nanoTime());
+			if (engine == null) {
+				return null;
+			}
+			tried.add(engine.id());
+			if (!this.services.mayTakeCold(engine)) {
+				continue;
+			}
+			if (repeat && !this.services.tryRepeat(this.call.service())) {
+				return null;
+			}
+			try {
+				return prefill(engine);
+			}
+			catch (NotRunException ex) {
+				repeat |= ex.hasArrived();
+				log(engine, "prefill not run", ex.getMessage());
+			}
+			catch (UnknownOutcomeException | HttpException ex) {
+				repeat = true;
+				log(engine, "prefill lost", String.valueOf(ex.getMessage()));
+			}
+		}
+		return null;
+	}
+
+	private PrefilledPrompt prefill(RegisteredEndpoint engine)
+			throws NotRunException, UnknownOutcomeException, HttpException {
+		long tokens = Math.max(1, this.call.fields().promptTokens());
+		long began = System.nanoTime();
+		this.services.loads().begin(engine.id(), tokens);
+		EndpointFields fields = new EndpointFields(engine.id(), this.call.team(), this.call.endpointMillis(), true,
+				null, null, urgency(), null);
+		Duration timeout = Duration.ofMillis(Math.max(1, Math.min(PREFILL_MILLIS, this.call.leftMillis())));
+		try (HttpResponse response = this.services.client().send(this.call, engine, fields, POOLED_IDLE, timeout)) {
+			byte[] body = response.bytes(MAX_HANDLE_BYTES);
+			String handle = (response.status() == SUCCESS) ? this.services.engines().prefillHandle(body) : null;
+			long millis = (System.nanoTime() - began) / 1_000_000;
+			this.services.health().answered(engine.id(), millis, handle == null, System.nanoTime());
+			if (handle == null) {
+				throw new UnknownOutcomeException(engine.id() + " answered a prefill with " + response.status());
+			}
+			log(engine, "prefilled", "in " + millis + " ms");
+			return new PrefilledPrompt(engine, handle, this.services.engines().cacheSource(engine, handle));
+		}
+		finally {
+			this.call.handle().end();
+			this.services.loads().end(engine.id(), tokens);
+		}
+	}
+
+	private int urgency() {
+		return (this.call.ageMillis() < this.call.route().objectiveMillis()) ? URGENCY_ON_TIME : URGENCY_LATE;
+	}
+
+	private boolean stream(DecodePlace place, @Nullable PrefilledPrompt prompt)
+			throws NotRunException, UnknownOutcomeException, IOException {
+		RegisteredEndpoint engine = place.engine();
+		EndpointFields fields = new EndpointFields(engine.id(), this.call.team(), this.call.endpointMillis(), false,
+				(prompt != null) ? prompt.source() : null, place.reservation(), urgency(), this.events.lastId());
+		boolean resumable = this.call.route().resumable();
+		Duration silence = Duration.ofMillis(Math.max(1, this.call.leftMillis()));
+		try (HttpResponse response = this.services.client().send(this.call, engine, fields, POOLED_IDLE, silence)) {
+			this.runs++;
+			this.arrivals++;
+			if (response.status() != SUCCESS) {
+				return failure(engine, response);
+			}
+			if (!this.call.response().isStarted()) {
+				this.call.response().start(response.status(), response.headers(), this.services.protocol());
+			}
+			response.setReadTimeout(resumable ? Duration.ofMillis(SILENCE_MILLIS) : silence);
+			relay(response);
+			this.services.health().answered(engine.id(), 0, false, System.nanoTime());
+			this.call.response().end();
+			log(engine, "complete", this.events.events() + " events");
+			return true;
+		}
+		catch (HttpException ex) {
+			this.events.dropPartial();
+			if (!this.call.isOver()) {
+				this.services.health().unreachable(engine.id(), System.nanoTime());
+			}
+			log(engine, "broken", String.valueOf(ex.getMessage()));
+			return false;
+		}
+		finally {
+			this.call.handle().end();
+		}
+	}
+
+	private void relay(HttpResponse response) throws HttpException, IOException {
+		ByteBuffer bytes = response.next();
+		boolean first = this.events.events() == 0;
+		while (bytes != null) {
+			ByteBuffer whole = this.events.take(bytes);
+			if (whole.hasRemaining()) {
+				if (first) {
+					first = false;
+					this.services.metrics().firstByte(this.call.route().kind().name(), this.call.ageMillis());
+				}
+				this.call.response().write(whole);
+			}
+			bytes = response.next();
+		}
+		if (this.events.rest().hasRemaining()) {
+			this.call.response().write(this.events.rest());
+		}
+	}
+
+	// An engine answered with a failure, so it ran the request.
+	private boolean failure(RegisteredEndpoint engine, HttpResponse response) throws HttpException, IOException {
+		byte[] body = response.bytes(MAX_HANDLE_BYTES * 16);
+		this.services.health().answered(engine.id(), 0, response.status() >= SERVER_ERROR, System.nanoTime());
+		log(engine, Integer.toString(response.status()), "");
+		if (this.call.response().isStarted() || (response.status() >= SERVER_ERROR && mayRunAgain())) {
+			return false;
+		}
+		this.call.response().send(response.status(), response.headers(), body, this.services.protocol());
+		return true;
+	}
+
+	private void releaseReservation(DecodePlace place) {
+		try {
+			this.services.engines().releaseReservation(place.engine(), place.reservation());
+		}
+		catch (HttpException ex) {
+			this.services.log().problem("a reservation at " + place.engine().id() + " is left to lapse", ex);
+		}
+	}
+
+	private void releaseHandle(PrefilledPrompt prompt) {
+		try {
+			this.services.engines().releaseHandle(prompt.engine(), prompt.handle());
+		}
+		catch (HttpException ex) {
+			this.services.log().problem("a handle at " + prompt.engine().id() + " is left to lapse", ex);
+		}
+	}
+
+	private void log(RegisteredEndpoint engine, String outcome, String reason) {
+		this.services.metrics().outcome(outcome);
+		this.services.log()
+			.request("attempt", this.call.id(), "endpoint", engine.id(), "service", this.call.service(), "run",
+					this.runs, "outcome", outcome, "reason", reason, "ageMillis", this.call.ageMillis());
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -0,0 +1,263 @@
+package org.banyanstile.server.router;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.banyanstile.core.catalog.Catalog;
+import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.placement.EndpointHealth;
+import org.banyanstile.core.placement.EndpointLoads;
+import org.banyanstile.core.placement.EndpointPicker;
+import org.banyanstile.io.http.HttpClient;
+import org.banyanstile.server.gossip.GossipLoad;
+import org.banyanstile.server.gossip.GossipMember;
+import org.banyanstile.server.gossip.GossipNode;
+import org.banyanstile.server.gossip.GossipState;
+import org.banyanstile.server.gossip.GossipUse;
+import org.banyanstile.server.gossip.MemberState;
+import org.banyanstile.server.gossip.Membership;
+import org.banyanstile.server.view.FleetReader;
+import org.banyanstile.server.view.FleetView;
+import org.banyanstile.server.view.RowDecoder;
+import org.banyanstile.server.view.TableSource;
+
+/**
+ * The daemon of a VM whose endpoints register themselves with the platform: view of the
+ * fleet, exchange with other VMs and request path.
+ *
+ * @author banyanstile contributors
+ */
+public final class Router implements AutoCloseable {
+
+	/**
+	 * Time for which a leaving VM still takes requests of callers that kept an older
+	 * directory answer.
+	 */
+	private static final Duration LINGER = Duration.ofMillis(4500);
+
+	/**
+	 * Part of the shutdown time that is left for ending the process.
+	 */
+	private static final Duration EXIT_RESERVE = Duration.ofMillis(900);
+
+	private final RouterSettings settings;
+
+	private final DecisionLog log;
+
+	private final FleetReader reader;
+
+	private final GossipNode gossip;
+
+	private final RouterServer server;
+
+	private final HttpClient client;
+
+	private final State state;
+
+	private Router(RouterSettings settings, DecisionLog log, FleetReader reader, GossipNode gossip, RouterServer server,
+			HttpClient client, State state) {
+		this.settings = settings;
+		this.log = log;
+		this.reader = reader;
+		this.gossip = gossip;
+		this.server = server;
+		this.client = client;
+		this.state = state;
+	}
+
+	/**
+	 * Starts the daemon.
+	 * @param settings figures of the deployment
+	 * @param addresses addresses to listen at
+	 * @param peerAddress address for datagrams of other VMs
+	 * @param seeds addresses of some other VMs
+	 * @param platform what the platform provides
+	 * @param log log of decisions
+	 * @return the daemon
+	 * @throws IOException if an address cannot be bound
+	 */
+	public static Router start(RouterSettings settings, RouterAddresses addresses, InetSocketAddress peerAddress,
+			Collection<String> seeds, Platform platform, DecisionLog log) throws IOException {
+		Ticker ticker = Ticker.system();
+		FleetView view = FleetView.create(platform.decoder(), ticker, log);
+		String ownPeerAddress = text(peerAddress);
+		Membership membership = Membership.of(new GossipMember(settings.vm(), System.currentTimeMillis(), 0,
+				settings.dataCentre(), text(addresses.callers()), ownPeerAddress, MemberState.STARTING.ordinal()));
+		EndpointLoads loads = new EndpointLoads();
+		EndpointHealth health = new EndpointHealth();
+		TeamQuotas quotas = new TeamQuotas(ticker);
+		State state = new State(view, loads, quotas, ticker);
+		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+		RouterServices services = new RouterServices(settings, view, platform.requests(), platform.engines(), loads,
+				health, EndpointPicker.create(loads, health, new Random()),
+				new EndpointClient(platform.client(), platform.requests(), health), membership::size, log, registry);
+		RouterServer server = new RouterServer(services, quotas, platform.directory(),
+				() -> addresses(membership, state, ticker), () -> state.leaving);
+		server.start(addresses, registry::scrape);
+		GossipNode gossip = GossipNode.start(peerAddress, membership, view, state, ticker, log);
+		gossip.addSeeds(seeds);
+		FleetReader reader = FleetReader.create(platform.source(), view,
+				() -> membership.isFirstOfDataCentre(ticker.nanos()), log);
+		reader.start(settings.vm(), ownPeerAddress, gossip::addSeeds);
+		log.lifecycle("started", "vm", settings.vm(), "callers", text(addresses.callers()));
+		return new Router(settings, log, reader, gossip, server, platform.client(), state);
+	}
+
+	private static String text(InetSocketAddress address) {
+		return address.getHostString() + ':' + address.getPort();
+	}
+
+	// Names the living VMs that take requests, and this VM if there is none, since an
+	// empty answer helps no caller.
+	private static List<String> addresses(Membership membership, State state, Ticker ticker) {
+		List<String> addresses = new ArrayList<>();
+		if (!state.leaving) {
+			addresses.add(membership.self().callerAddress());
+		}
+		for (GossipMember member : membership.alivePeers(ticker.nanos())) {
+			if (member.state() == MemberState.SERVING.ordinal()) {
+				addresses.add(member.callerAddress());
+			}
+		}
+		return addresses.isEmpty() ? List.of(membership.self().callerAddress()) : addresses;
+	}
+
+	/**
+	 * Logs that the settings file was read again.
+	 * @param outcome what followed
+	 */
+	public void reloaded(String outcome) {
+		this.log.lifecycle("reload", "outcome", outcome);
+	}
+
+	/**
+	 * Shuts down: leaves the directory at once, serves callers who kept its older answer
+	 * for some time, and finishes running requests.
+	 */
+	@Override
+	public void close() {
+		long began = System.nanoTime();
+		this.state.leaving = true;
+		this.gossip.announce();
+		this.log.lifecycle("stopping", "running", this.server.running());
+		long end = this.settings.shutdown().minus(EXIT_RESERVE).toNanos();
+		long linger = Math.min(LINGER.toNanos(), end);
+		boolean interrupted = false;
+		while (!interrupted && System.nanoTime() - began < end
+				&& (System.nanoTime() - began < linger || this.server.running() > 0)) {
+			if (System.nanoTime() - began >= linger) {
+				this.server.refuseNew();
+			}
+			interrupted = !pause();
+		}
+		this.server.refuseNew();
+		this.log.lifecycle("stopped", "running", this.server.running());
+		this.reader.close();
+		this.server.close();
+		this.gossip.close();
+		this.client.close();
+	}
+
+	private static boolean pause() {
+		try {
+			TimeUnit.MILLISECONDS.sleep(50);
+			return true;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+	/**
+	 * What the platform provides.
+	 *
+	 * @param source reads the store
+	 * @param decoder decodes its rows
+	 * @param requests header fields of requests
+	 * @param engines calls to engines
+	 * @param directory directory and readiness
+	 * @param client client for endpoints
+	 * @author banyanstile contributors
+	 */
+	public record Platform(TableSource source, RowDecoder decoder, RequestProtocol requests, EngineCalls engines,
+			DirectoryProtocol directory, HttpClient client) {
+
+	}
+
+	/**
+	 * State of this VM that other VMs learn.
+	 *
+	 * @author banyanstile contributors
+	 */
+	private static final class State implements GossipNode.LocalState {
+
+		private final FleetView view;
+
+		private final EndpointLoads loads;
+
+		private final TeamQuotas quotas;
+
+		private final Ticker ticker;
+
+		private volatile boolean leaving;
+
+		private State(FleetView view, EndpointLoads loads, TeamQuotas quotas, Ticker ticker) {
+			this.view = view;
+			this.loads = loads;
+			this.quotas = quotas;
+			this.ticker = ticker;
+		}
+
+		@Override
+		public MemberState memberState() {
+			if (this.leaving) {
+				return MemberState.LEAVING;
+			}
+			Catalog catalog = this.view.snapshot().catalog();
+			if (catalog == null) {
+				return MemberState.STARTING;
+			}
+			catalog.teams().forEach(this.quotas::prepare);
+			return MemberState.SERVING;
+		}
+
+		@Override
+		public List<GossipLoad> loads() {
+			return this.loads.own()
+				.stream()
+				.map((load) -> new GossipLoad(load.endpoint(), load.requests(), load.tokens()))
+				.toList();
+		}
+
+		@Override
+		public List<GossipUse> uses() {
+			return this.quotas.uses();
+		}
+
+		@Override
+		public List<Long> crashes() {
+			return List.of();
+		}
+
+		@Override
+		public void received(GossipState state) {
+			List<EndpointLoads.Load> reported = state.loads()
+				.stream()
+				.map((load) -> new EndpointLoads.Load(load.endpoint(), load.requests(), load.tokens()))
+				.toList();
+			this.loads.report(state.self().vm(), reported, this.ticker.nanos());
+			this.quotas.report(state.self(), state.uses());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/router/TeamQuotas.java
@@ -0,0 +1,107 @@
+package org.banyanstile.server.router;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.banyanstile.core.catalog.TeamPolicy;
+import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.limit.SharedQuota;
+import org.banyanstile.server.gossip.GossipMember;
+import org.banyanstile.server.gossip.GossipUse;
+
+/**
+ * Token limits of all teams. Safe for use by several threads.
+ *
+ * @author banyanstile contributors
+ */
+final class TeamQuotas {
+
+	private final Map<String, SharedQuota> quotas = new HashMap<>();
+
+	private final Map<String, Map<String, Heard>> heard = new HashMap<>();
+
+	private final Ticker ticker;
+
+	TeamQuotas(Ticker ticker) {
+		this.ticker = ticker;
+	}
+
+	/**
+	 * Takes tokens of a team.
+	 * @param team the team
+	 * @param tokens the tokens
+	 * @return 0 if they were taken, else the time in nanoseconds until there may be
+	 * enough
+	 */
+	synchronized long take(TeamPolicy team, long tokens) {
+		if (!team.isLimited()) {
+			return 0;
+		}
+		return quota(team).take(tokens, this.ticker.nanos());
+	}
+
+	/**
+	 * Gives back tokens of a request that did not run.
+	 * @param team the team
+	 * @param tokens the tokens
+	 */
+	synchronized void giveBack(TeamPolicy team, long tokens) {
+		if (team.isLimited()) {
+			quota(team).giveBack(tokens);
+		}
+	}
+
+	private SharedQuota quota(TeamPolicy team) {
+		long now = this.ticker.nanos();
+		SharedQuota quota = this.quotas.computeIfAbsent(team.name(), (name) -> {
+			SharedQuota fresh = SharedQuota.empty(team.tokensPerSecond(), team.burstTokens(), now);
+			this.heard.getOrDefault(name, Map.of())
+				.forEach((vm, use) -> fresh.report(vm, use.incarnation(), use.tokens(), now));
+			return fresh;
+		});
+		quota.setLimit(team.tokensPerSecond(), team.burstTokens(), now);
+		return quota;
+	}
+
+	/**
+	 * Prepares the bucket of a team, so that it fills before the first request.
+	 * @param team the team
+	 */
+	synchronized void prepare(TeamPolicy team) {
+		if (team.isLimited()) {
+			quota(team);
+		}
+	}
+
+	synchronized List<GossipUse> uses() {
+		List<GossipUse> uses = new ArrayList<>();
+		this.quotas.forEach((team, quota) -> uses.add(new GossipUse(team, quota.used())));
+		return uses;
+	}
+
+	synchronized void report(GossipMember vm, List<GossipUse> uses) {
+		long now = this.ticker.nanos();
+		for (GossipUse use : uses) {
+			this.heard.computeIfAbsent(use.team(), (team) -> new HashMap<>())
+				.put(vm.vm(), new Heard(vm.incarnation(), use.tokens()));
+			SharedQuota quota = this.quotas.get(use.team());
+			if (quota != null) {
+				quota.report(vm.vm(), vm.incarnation(), use.tokens(), now);
+			}
+		}
+	}
+
+	/**
+	 * Use that another VM reported last, kept for teams that this VM has not served yet.
+	 *
+	 * @param incarnation incarnation of the VM
+	 * @param tokens tokens since its start
+	 * @author banyanstile contributors
+	 */
+	private record Heard(long incarnation, long tokens) {
+
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/router/UnknownOutcomeException.java
@@ -0,0 +1,24 @@
+package org.banyanstile.server.router;
+
+import java.io.Serial;
+
+/**
+ * A request may or may not have run.
+ *
+ * @author banyanstile contributors
+ */
+final class UnknownOutcomeException extends Exception {
+
+	@Serial
+	private static final long serialVersionUID = 1L;
+
+	UnknownOutcomeException(String message) {
+		super(message, null, false, false);
+	}
+
+	@Override
+	public String getMessage() {
+		return String.valueOf(super.getMessage());
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/view/FleetReader.java
@@ -0,0 +1,206 @@
+package org.banyanstile.server.view;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+import org.banyanstile.server.router.DecisionLog;
+
+/**
+ * Reads the store and passes changes to the view. Only one VM of each data centre reads
+ * all the time; the others read when neither the store nor another VM has vouched for
+ * their copy for some time, so a lost reader needs no election. One thread for each
+ * table.
+ *
+ * @author banyanstile contributors
+ */
+public final class FleetReader implements AutoCloseable {
+
+	/**
+	 * Longest wait of the store for a change of the operator's table. A feed that went
+	 * silent is noticed after this time and the time-out of the call.
+	 */
+	private static final Duration OPERATOR_WAIT = Duration.ofMillis(1500);
+
+	/**
+	 * Pause between two reads of the endpoints, well below the two seconds within which a
+	 * draining endpoint must get no more work.
+	 */
+	private static final long ENDPOINT_PAUSE_MILLIS = 600;
+
+	/**
+	 * Age of the copy at which a VM that is not a reader reads itself. Above the interval
+	 * of a reader and two rounds between VMs.
+	 */
+	private static final long STALE_MILLIS = 1600;
+
+	private static final long STALE_OPERATOR_MILLIS = 2600;
+
+	private static final long CHECK_MILLIS = 150;
+
+	/**
+	 * Longest pause after failed calls.
+	 */
+	private static final long MAX_BACKOFF_MILLIS = 600;
+
+	private static final long REGISTERED_MILLIS = 10_000;
+
+	private final TableSource source;
+
+	private final FleetView view;
+
+	private final BooleanSupplier isReader;
+
+	private final DecisionLog log;
+
+	private volatile boolean closed;
+
+	private volatile boolean reachable = true;
+
+	private FleetReader(TableSource source, FleetView view, BooleanSupplier isReader, DecisionLog log) {
+		this.source = source;
+		this.view = view;
+		this.isReader = isReader;
+		this.log = log;
+	}
+
+	/**
+	 * Creates a reader; it reads nothing before {@link #start}.
+	 * @param source the store
+	 * @param view the view to update
+	 * @param isReader whether this VM reads all the time
+	 * @param log log of changes
+	 * @return the reader
+	 */
+	public static FleetReader create(TableSource source, FleetView view, BooleanSupplier isReader, DecisionLog log) {
+		return new FleetReader(source, view, isReader, log);
+	}
+
+	/**
+	 * Starts to read.
+	 * @param vm name of this VM
+	 * @param peerAddress its address for other VMs
+	 * @param peers receives the addresses of registered VMs
+	 */
+	public void start(String vm, String peerAddress, Consumer<Collection<String>> peers) {
+		thread("operator-reader", () -> run(FleetTable.OPERATOR));
+		thread("endpoint-reader", () -> run(FleetTable.ENDPOINTS));
+		thread("registration", () -> registration(vm, peerAddress, peers));
+	}
+
+	private static void thread(String name, Runnable body) {
+		Thread thread = new Thread(body, name);
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	/**
+	 * Returns whether the last call reached the store.
+	 * @return whether it did
+	 */
+	public boolean isReachable() {
+		return this.reachable;
+	}
+
+	private void run(FleetTable table) {
+		long failures = 0;
+		boolean reread = true;
+		long seen = -1;
+		long seenAt = System.nanoTime();
+		while (!this.closed) {
+			long millis = this.view.storeMillis(table);
+			if (millis != seen) {
+				seen = millis;
+				seenAt = System.nanoTime();
+			}
+			if (!reread && !isDue(table, (System.nanoTime() - seenAt) / 1_000_000)) {
+				pause(CHECK_MILLIS);
+				continue;
+			}
+			try {
+				read(table, reread);
+				reread = false;
+				failures = 0;
+				reached(true, "");
+				pause((table == FleetTable.ENDPOINTS) ? ENDPOINT_PAUSE_MILLIS : 0);
+			}
+			catch (HistoryLostException ex) {
+				this.log.belief("history lost", "table", table, "version", this.view.version(table));
+				reread = true;
+			}
+			catch (TableSourceException ex) {
+				reached(false, String.valueOf(ex.getMessage()));
+				failures++;
+				pause(Math.min(MAX_BACKOFF_MILLIS, 100 * failures));
+			}
+			catch (RuntimeException ex) {
+				this.log.problem("reading the table " + table + " failed", ex);
+				pause(MAX_BACKOFF_MILLIS);
+			}
+		}
+	}
+
+	private boolean isDue(FleetTable table, long ageMillis) {
+		long stale = (table == FleetTable.OPERATOR) ? STALE_OPERATOR_MILLIS : STALE_MILLIS;
+		return this.isReader.getAsBoolean() || ageMillis > stale;
+	}
+
+	private void read(FleetTable table, boolean whole) throws TableSourceException {
+		long after = this.view.version(table);
+		if (whole || after < 0) {
+			this.view.replace(table, this.source.readAll(table));
+			return;
+		}
+		Duration wait = (table == FleetTable.OPERATOR) ? OPERATOR_WAIT : Duration.ZERO;
+		this.view.apply(table, after, this.source.changes(table, after, wait));
+	}
+
+	private void reached(boolean now, String reason) {
+		if (now != this.reachable) {
+			this.reachable = now;
+			this.log.lifecycle(now ? "store is back" : "store lost", "reason", reason);
+		}
+	}
+
+	private void registration(String vm, String peerAddress, Consumer<Collection<String>> peers) {
+		boolean registered = false;
+		while (!this.closed) {
+			try {
+				if (!registered) {
+					this.source.register(vm, peerAddress);
+					registered = true;
+				}
+				List<String> addresses = this.source.registered();
+				peers.accept(addresses);
+				pause(REGISTERED_MILLIS);
+			}
+			catch (TableSourceException ex) {
+				this.log.problem("registration of this VM is tried again", ex);
+				pause(MAX_BACKOFF_MILLIS);
+			}
+		}
+	}
+
+	private static void pause(long millis) {
+		if (millis <= 0) {
+			return;
+		}
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Ends the threads after their current call.
+	 */
+	@Override
+	public void close() {
+		this.closed = true;
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/view/FleetSnapshot.java
@@ -0,0 +1,51 @@
+package org.banyanstile.server.view;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.banyanstile.core.catalog.Catalog;
+import org.banyanstile.core.catalog.EndpointPhase;
+import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a VM knows at one moment. Immutable.
+ *
+ * @param catalog the configuration, {@code null} before the first one
+ * @param usable endpoints that may get new work, by service
+ * @param all all registered endpoints, by id
+ * @param evacuated data centres that get no new work
+ * @author banyanstile contributors
+ */
+public record FleetSnapshot(@Nullable Catalog catalog, Map<String, List<RegisteredEndpoint>> usable,
+		Map<String, RegisteredEndpoint> all, Set<String> evacuated) {
+
+	/**
+	 * Returns the endpoints of a service that may get new work.
+	 * @param service name of the service
+	 * @param phase their part
+	 * @return the endpoints
+	 */
+	public List<RegisteredEndpoint> usable(String service, EndpointPhase phase) {
+		return this.usable.getOrDefault(service, List.of())
+			.stream()
+			.filter((endpoint) -> endpoint.phase() == phase)
+			.toList();
+	}
+
+	/**
+	 * Returns whether an endpoint may still get new work.
+	 * @param endpoint the endpoint
+	 * @return whether it may
+	 */
+	public boolean isUsable(RegisteredEndpoint endpoint) {
+		for (RegisteredEndpoint other : this.usable.getOrDefault(endpoint.service(), List.of())) {
+			if (other.id().equals(endpoint.id())) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/view/TableRead.java
@@ -0,0 +1,17 @@
+package org.banyanstile.server.view;
+
+import java.util.List;
+
+import org.banyanstile.core.replica.ReplicaRow;
+
+/**
+ * Rows of a table as the store returned them.
+ *
+ * @param rows the rows
+ * @param version the store's version up to which they are complete
+ * @param millis the store's time in milliseconds
+ * @author banyanstile contributors
+ */
+public record TableRead(List<ReplicaRow> rows, long version, long millis) {
+
+}
--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/view/TableSource.java
@@ -0,0 +1,47 @@
+package org.banyanstile.server.view;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * Reads the platform's store.
+ *
+ * @author banyanstile contributors
+ */
+public interface TableSource {
+
+	/**
+	 * Reads a whole table.
+	 * @param table the table
+	 * @return its rows as of one moment
+	 * @throws TableSourceException if the store did not answer
+	 */
+	TableRead readAll(FleetTable table) throws TableSourceException;
+
+	/**
+	 * Waits for changes of a table.
+	 * @param table the table
+	 * @param after version after which changes are wanted
+	 * @param wait longest time that the store waits for a change
+	 * @return changed and removed rows, empty if there were none
+	 * @throws HistoryLostException if the store has forgotten these changes
+	 * @throws TableSourceException if the store did not answer
+	 */
+	TableRead changes(FleetTable table, long after, Duration wait) throws TableSourceException;
+
+	/**
+	 * Registers a VM, so that others find it when the seeds are down.
+	 * @param vm name of the VM
+	 * @param peerAddress its address for other VMs
+	 * @throws TableSourceException if the store did not confirm it
+	 */
+	void register(String vm, String peerAddress) throws TableSourceException;
+
+	/**
+	 * Returns the addresses of registered VMs.
+	 * @return their addresses for other VMs
+	 * @throws TableSourceException if the store did not answer
+	 */
+	List<String> registered() throws TableSourceException;
+
+}
