--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/lease/OrderTurn.java
@@ -0,0 +1,112 @@
+package org.banyanstile.core.lease;
+
+/**
+ * Right to give orders, held by one VM at a time through a row of the store. The holder
+ * writes the row under a condition right before it gives orders; the version of that
+ * write is its fencing token. Another VM takes the row only after it has not changed for
+ * longer than a holder may use a write, so turns of two holders never interleave. Nothing
+ * is written while there are no orders. Not safe for use by several threads.
+ *
+ * @author banyanstile contributors
+ */
+public final class OrderTurn {
+
+	/**
+	 * Time for which a write gives the right to order, counted from before the write.
+	 */
+	public static final long USE_NANOS = 1_000_000_000L;
+
+	/**
+	 * Time without a change after which another VM may take the row: the use of the last
+	 * write, and the three seconds within which engines' callers may not take turns.
+	 */
+	public static final long TAKEOVER_NANOS = 5_000_000_000L;
+
+	private final String vm;
+
+	private long version = -1;
+
+	private String owner = "";
+
+	private long since;
+
+	private long writtenAt;
+
+	private long token = -1;
+
+	private OrderTurn(String vm) {
+		this.vm = vm;
+	}
+
+	/**
+	 * Creates the state of a VM that knows nothing of the row.
+	 * @param vm name of this VM
+	 * @return the state
+	 */
+	public static OrderTurn of(String vm) {
+		return new OrderTurn(vm);
+	}
+
+	/**
+	 * Notes what the row was read as.
+	 * @param rowVersion version of the row, 0 if it does not exist
+	 * @param rowOwner the VM that wrote it
+	 * @param now the current time in nanoseconds
+	 */
+	public void read(long rowVersion, String rowOwner, long now) {
+		if (rowVersion != this.version) {
+			this.version = rowVersion;
+			this.owner = rowOwner;
+			this.since = now;
+		}
+	}
+
+	/**
+	 * Returns whether this VM may write the row.
+	 * @param now the current time in nanoseconds
+	 * @return whether it may
+	 */
+	public boolean mayWrite(long now) {
+		return this.version == 0 || (this.version > 0 && this.owner.equals(this.vm))
+				|| (this.version > 0 && now - this.since >= TAKEOVER_NANOS);
+	}
+
+	/**
+	 * Returns the version that the next write has to expect.
+	 * @return the version
+	 */
+	public long expectedVersion() {
+		return this.version;
+	}
+
+	/**
+	 * Notes a write that the store confirmed.
+	 * @param newVersion version of the row since
+	 * @param began time in nanoseconds before the write was sent
+	 */
+	public void written(long newVersion, long began) {
+		this.version = newVersion;
+		this.owner = this.vm;
+		this.since = began;
+		this.writtenAt = began;
+		this.token = newVersion;
+	}
+
+	/**
+	 * Gives the turn up after an engine named a higher token, or a write failed.
+	 */
+	public void lost() {
+		this.token = -1;
+		this.version = -1;
+	}
+
+	/**
+	 * Returns the fencing token for an order.
+	 * @param now the current time in nanoseconds
+	 * @return the token, or -1 if the turn has to be confirmed first
+	 */
+	public long token(long now) {
+		return (this.token >= 0 && now - this.writtenAt < USE_NANOS) ? this.token : -1;
+	}
+
+}
--- a/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
+++ b/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
@@ -20,6 +20,16 @@
 	 */
 	static final long SILENT_NANOS = 1_000_000_000L;
 
+	/**
+	 * Largest part of the bucket that a small request takes.
+	 */
+	static final double SMALL_PART = 0.02;
+
+	/**
+	 * Part of the bucket that small requests may take in advance.
+	 */
+	static final double OVERDRAFT = 0.25;
+
 	private static final double NANOS = 1e9;
 
 	private double rate;
@@ -75,7 +85,7 @@
 	 */
 	public long take(long tokens, long now) {
 		refill(now);
-		double needed = Math.min(tokens, this.burst);
+		double needed = Math.min(tokens, this.burst) - overdraft(tokens);
 		if (this.level + 1e-6 < needed) {
 			return Math.max(1, (long) ((needed - this.level) / Math.max(1, this.rate) * NANOS));
 		}
@@ -84,6 +94,11 @@
 		return 0;
 	}
 
+	// One large request must not shut out many small ones for the time of its refill.
+	private double overdraft(long tokens) {
+		return (tokens <= SMALL_PART * this.burst) ? OVERDRAFT * this.burst : 0;
+	}
+
 	/**
 	 * Gives back tokens of a request that no endpoint ran.
 	 * @param tokens the tokens
--- a/io/src/main/java/org/banyanstile/io/http/HttpClient.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpClient.java
@@ -44,7 +44,7 @@
 
 	private static final int BUFFER_BYTES = 16 * 1024;
 
-	private static final int MAX_IDLE_PER_PEER = 64;
+	private static final int MAX_IDLE_PER_PEER = 8;
 
 	private final XnioWorker worker;
 
--- a/server/src/main/java/org/banyanstile/server/gossip/Membership.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/Membership.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * VMs of the fleet by their heartbeats. A VM is alive as long as its counter advances, at
@@ -138,11 +139,23 @@
 	 * @return whether it is
 	 */
 	public synchronized boolean isFirstOfDataCentre(long now) {
+		return isFirst(now, (member) -> member.dataCentre().equals(this.self.dataCentre()));
+	}
+
+	/**
+	 * Returns whether this VM is the first of all living VMs.
+	 * @param now the current time in nanoseconds
+	 * @return whether it is
+	 */
+	public synchronized boolean isFirstOfFleet(long now) {
+		return isFirst(now, (member) -> true);
+	}
+
+	private boolean isFirst(long now, Predicate<GossipMember> among) {
 		for (Entry entry : this.entries.values()) {
 			GossipMember member = entry.member();
 			boolean alive = now - entry.advanced() <= DEAD_NANOS && member.state() != MemberState.LEAVING.ordinal();
-			if (alive && member.dataCentre().equals(this.self.dataCentre())
-					&& member.vm().compareTo(this.self.vm()) < 0) {
+			if (alive && among.test(member) && member.vm().compareTo(this.self.vm()) < 0) {
 				return false;
 			}
 		}
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -48,6 +48,12 @@
 	 */
 	private static final Duration EXIT_RESERVE = Duration.ofMillis(900);
 
+	/**
+	 * Idle time after which connections to endpoints are closed. Endpoints accept few
+	 * connections from all VMs together.
+	 */
+	private static final Duration MAX_IDLE = Duration.ofSeconds(2);
+
 	private final RouterSettings settings;
 
 	private final DecisionLog log;
@@ -58,17 +64,20 @@
 
 	private final RouterServer server;
 
+	private final RoleKeeper keeper;
+
 	private final HttpClient client;
 
 	private final State state;
 
 	private Router(RouterSettings settings, DecisionLog log, FleetReader reader, GossipNode gossip, RouterServer server,
-			HttpClient client, State state) {
+			RoleKeeper keeper, HttpClient client, State state) {
 		this.settings = settings;
 		this.log = log;
 		this.reader = reader;
 		this.gossip = gossip;
 		this.server = server;
+		this.keeper = keeper;
 		this.client = client;
 		this.state = state;
 	}
@@ -93,7 +102,7 @@
 				settings.dataCentre(), text(addresses.callers()), ownPeerAddress, MemberState.STARTING.ordinal()));
 		EndpointLoads loads = new EndpointLoads();
 		EndpointHealth health = new EndpointHealth();
-		TeamQuotas quotas = new TeamQuotas(ticker);
+		TeamQuotas quotas = new TeamQuotas(ticker, settings.limitTolerance());
 		State state = new State(view, loads, quotas, ticker);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 		RouterServices services = new RouterServices(settings, view, platform.requests(), platform.engines(), loads,
@@ -107,8 +116,12 @@
 		FleetReader reader = FleetReader.create(platform.source(), view,
 				() -> membership.isFirstOfDataCentre(ticker.nanos()), log);
 		reader.start(settings.vm(), ownPeerAddress, gossip::addSeeds);
+		server.every(Duration.ofSeconds(1), () -> platform.client().closeIdle(MAX_IDLE));
+		RoleKeeper keeper = new RoleKeeper(settings.vm(), view, platform.source(), platform.engines(), loads,
+				() -> membership.isFirstOfFleet(ticker.nanos()) && !state.leaving, log);
+		keeper.start();
 		log.lifecycle("started", "vm", settings.vm(), "callers", text(addresses.callers()));
-		return new Router(settings, log, reader, gossip, server, platform.client(), state);
+		return new Router(settings, log, reader, gossip, server, keeper, platform.client(), state);
 	}
 
 	private static String text(InetSocketAddress address) {
@@ -160,6 +173,7 @@
 		}
 		this.server.refuseNew();
 		this.log.lifecycle("stopped", "running", this.server.running());
+		this.keeper.close();
 		this.reader.close();
 		this.server.close();
 		this.gossip.close();
--- a/server/src/main/java/org/banyanstile/server/router/RouterCall.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterCall.java
@@ -53,7 +53,7 @@
 	private volatile boolean timedOut;
 
 	RouterCall(HttpServerExchange exchange, CallerConnection connection, CallerFields fields, ServedRoute route,
-			String service, @Nullable TeamPolicy team, byte[] body, long arrived) {
+			String service, @Nullable TeamPolicy team, byte[] body, long arrived, CallerResponse response) {
 		this.exchange = exchange;
 		this.connection = connection;
 		this.fields = fields;
@@ -62,7 +62,7 @@
 		this.team = team;
 		this.body = body;
 		this.arrived = arrived;
-		this.response = new CallerResponse(exchange, connection);
+		this.response = response;
 	}
 
 	CallerFields fields() {
--- a/server/src/main/java/org/banyanstile/server/router/RouterServer.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServer.java
@@ -131,6 +131,16 @@
 				TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Runs a task again and again while the server runs.
+	 * @param period time between two runs
+	 * @param task the task, which must not block
+	 */
+	void every(Duration period, Runnable task) {
+		var unused = this.watch.scheduleWithFixedDelay(task, period.toMillis(), period.toMillis(),
+				TimeUnit.MILLISECONDS);
+	}
+
 	private static void listen(Undertow.Builder builder, InetSocketAddress address, HttpHandler handler) {
 		builder.addHttpListener(address.getPort(), address.getHostString(), handler);
 	}
@@ -270,6 +280,10 @@
 		this.services.log()
 			.request("refused", fields.attemptId(), "status", refusal.status(), "reason", refusal.getMessage(),
 					"retryAfter", refusal.retryAfterSeconds(), "ageMillis", (System.nanoTime() - arrived) / 1_000_000);
+		if (response.isStarted()) {
+			response.abort();
+			return;
+		}
 		try {
 			if (this.leaving.getAsBoolean()) {
 				response.closeAfterwards();
@@ -297,7 +311,7 @@
 		if (service == null) {
 			throw RefusalException.notRun("the service of the route is not configured", SOON_SECONDS);
 		}
-		RouterCall call = new RouterCall(exchange, connection, fields, route, name, team, body, arrived);
+		RouterCall call = new RouterCall(exchange, connection, fields, route, name, team, body, arrived, response);
 		if (this.leaving.getAsBoolean()) {
 			call.response().closeAfterwards();
 		}
--- a/server/src/main/java/org/banyanstile/server/router/RouterSettings.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterSettings.java
@@ -10,10 +10,11 @@
  * @param retryRatio repeats that are allowed for each request to a service
  * @param retryExtra repeats of all VMs that are allowed besides
  * @param retryWindow sliding window of the retry budget
+ * @param limitTolerance tokens by which a team may exceed its limit for a moment
  * @param shutdown time from the request to stop until the process is ended
  * @author banyanstile contributors
  */
 public record RouterSettings(String vm, String dataCentre, double retryRatio, double retryExtra, Duration retryWindow,
-		Duration shutdown) {
+		double limitTolerance, Duration shutdown) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/router/TeamQuotas.java
+++ b/server/src/main/java/org/banyanstile/server/router/TeamQuotas.java
@@ -18,14 +18,24 @@
  */
 final class TeamQuotas {
 
+	/**
+	 * Part of the tolerated excess that is added to each bucket, so that a team within
+	 * its limit is not refused because the VMs' reports lag. The rest covers what VMs
+	 * admit between two reports.
+	 */
+	private static final double USED_TOLERANCE = 0.3;
+
 	private final Map<String, SharedQuota> quotas = new HashMap<>();
 
 	private final Map<String, Map<String, Heard>> heard = new HashMap<>();
 
 	private final Ticker ticker;
 
-	TeamQuotas(Ticker ticker) {
+	private final double extraTokens;
+
+	TeamQuotas(Ticker ticker, double tolerance) {
 		this.ticker = ticker;
+		this.extraTokens = USED_TOLERANCE * tolerance;
 	}
 
 	/**
@@ -56,12 +66,12 @@
 	private SharedQuota quota(TeamPolicy team) {
 		long now = this.ticker.nanos();
 		SharedQuota quota = this.quotas.computeIfAbsent(team.name(), (name) -> {
-			SharedQuota fresh = SharedQuota.empty(team.tokensPerSecond(), team.burstTokens(), now);
+			SharedQuota fresh = SharedQuota.empty(team.tokensPerSecond(), team.burstTokens() + this.extraTokens, now);
 			this.heard.getOrDefault(name, Map.of())
 				.forEach((vm, use) -> fresh.report(vm, use.incarnation(), use.tokens(), now));
 			return fresh;
 		});
-		quota.setLimit(team.tokensPerSecond(), team.burstTokens(), now);
+		quota.setLimit(team.tokensPerSecond(), team.burstTokens() + this.extraTokens, now);
 		return quota;
 	}
 
--- a/server/src/main/java/org/banyanstile/server/view/TableSource.java
+++ b/server/src/main/java/org/banyanstile/server/view/TableSource.java
@@ -44,4 +44,20 @@
 	 */
 	List<String> registered() throws TableSourceException;
 
+	/**
+	 * Reads the row that says which VM may give orders.
+	 * @return the row
+	 * @throws TableSourceException if the store did not answer
+	 */
+	OrderRow orderRow() throws TableSourceException;
+
+	/**
+	 * Writes the row that says which VM may give orders, if it has a certain version.
+	 * @param vm name of this VM
+	 * @param expectedVersion the version, 0 if the row must not exist
+	 * @return the new version, or -1 if the row has another version
+	 * @throws TableSourceException if the store did not answer, so the outcome is unknown
+	 */
+	long writeOrderRow(String vm, long expectedVersion) throws TableSourceException;
+
 }
