--- a/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
+++ b/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
@@ -36,6 +36,8 @@
 
 	private double burst;
 
+	private double capacity;
+
 	private double level;
 
 	private long at;
@@ -47,6 +49,7 @@
 	private SharedQuota(double rate, double burst, long now) {
 		this.rate = rate;
 		this.burst = burst;
+		this.capacity = burst;
 		this.at = now;
 	}
 
@@ -85,7 +88,7 @@
 	 */
 	public long take(long tokens, long now) {
 		refill(now);
-		double needed = Math.min(tokens, this.burst) - overdraft(tokens);
+		double needed = Math.min(tokens, this.capacity) - overdraft(tokens);
 		if (this.level + 1e-6 < needed) {
 			return Math.max(1, (long) ((needed - this.level) / Math.max(1, this.rate) * NANOS));
 		}
@@ -104,7 +107,7 @@
 	 * @param tokens the tokens
 	 */
 	public void giveBack(long tokens) {
-		this.level = Math.min(this.burst, this.level + tokens);
+		this.level = Math.min(this.capacity, this.level + tokens);
 		this.used -= tokens;
 	}
 
@@ -149,13 +152,19 @@
 	private void refill(long now) {
 		double seconds = Math.max(0, now - this.at) / NANOS;
 		double share = this.rate / (this.peers.size() + 1);
+		int silentPeers = 0;
 		for (Peer peer : this.peers.values()) {
+			silentPeers += (now - peer.heard > SILENT_NANOS) ? 1 : 0;
 			long silentSince = peer.heard + SILENT_NANOS;
 			double silent = Math.min(Math.max(0, now - silentSince) / NANOS, seconds);
 			peer.assumed += silent * share;
 			this.level -= silent * share;
 		}
-		this.level = Math.min(this.burst, this.level + seconds * this.rate);
+		// Each side of a partition keeps its part of the bucket, so that the sides
+		// together
+		// cannot spend it twice.
+		this.capacity = this.burst * (this.peers.size() + 1 - silentPeers) / (this.peers.size() + 1);
+		this.level = Math.min(this.capacity, this.level + seconds * this.rate);
 		this.at = Math.max(this.at, now);
 	}
 
--- a/core/src/main/java/org/banyanstile/core/placement/AdmissionLine.java
+++ b/core/src/main/java/org/banyanstile/core/placement/AdmissionLine.java
@@ -6,9 +6,11 @@
 /**
  * Line of requests that wait for memory at an engine. Requests that can still meet their
  * objective come first, since a late answer is worth a fraction of one in time; among
- * these, the more urgent and then the older come first. Only the first few try to reserve
- * memory, so that a long line does not flood the engines with reservations. Safe for use
- * by several threads.
+ * these the more urgent and then the smaller come first, because a small request frees
+ * its memory soon and more of them meet their objective. Late requests keep the order of
+ * their arrival, so large ones are delayed but not shut out. Only the first few try to
+ * reserve memory, so that a long line does not flood the engines with reservations. Safe
+ * for use by several threads.
  *
  * @author banyanstile contributors
  */
@@ -16,8 +18,10 @@
 
 	private final int width;
 
-	private final TreeSet<Ticket> tickets = new TreeSet<>(
-			Comparator.comparing(Ticket::late).thenComparing(Ticket::priority).thenComparing(Ticket::number));
+	private final TreeSet<Ticket> tickets = new TreeSet<>(Comparator.comparing(Ticket::late)
+		.thenComparing(Ticket::priority)
+		.thenComparing(Ticket::size)
+		.thenComparing(Ticket::number));
 
 	private long numbers;
 
@@ -38,10 +42,11 @@
 	 * Joins the line.
 	 * @param late whether the request cannot meet its objective any more
 	 * @param priority rank, 0 for the most urgent
+	 * @param size size of the request
 	 * @return the ticket
 	 */
-	public synchronized Ticket join(boolean late, int priority) {
-		Ticket ticket = new Ticket(late, priority, this.numbers++);
+	public synchronized Ticket join(boolean late, int priority, long size) {
+		Ticket ticket = new Ticket(late, priority, late ? 0 : size, this.numbers++);
 		this.tickets.add(ticket);
 		return ticket;
 	}
@@ -53,7 +58,7 @@
 	 */
 	public synchronized Ticket fallBehind(Ticket ticket) {
 		this.tickets.remove(ticket);
-		Ticket later = new Ticket(true, ticket.priority(), ticket.number());
+		Ticket later = new Ticket(true, ticket.priority(), 0, ticket.number());
 		this.tickets.add(later);
 		notifyAll();
 		return later;
@@ -106,10 +111,11 @@
 	 *
 	 * @param late whether the request cannot meet its objective any more
 	 * @param priority rank, 0 for the most urgent
+	 * @param size size of the request, 0 if it is late
 	 * @param number order of arrival
 	 * @author banyanstile contributors
 	 */
-	public record Ticket(boolean late, int priority, long number) {
+	public record Ticket(boolean late, int priority, long size, long number) {
 
 	}
 
--- a/server/src/main/java/org/banyanstile/server/router/TeamQuotas.java
+++ b/server/src/main/java/org/banyanstile/server/router/TeamQuotas.java
@@ -23,7 +23,7 @@
 	 * its limit is not refused because the VMs' reports lag. The rest covers what VMs
 	 * admit between two reports.
 	 */
-	private static final double USED_TOLERANCE = 0.3;
+	private static final double USED_TOLERANCE = 0.5;
 
 	private final Map<String, SharedQuota> quotas = new HashMap<>();
 
