Close an endpoint's connection at once when its caller has gone

Cause: Undertow's client ends the request it writes and waits for the rest of the response when it is closed, and does not fail the pending response.

Ruled out: a missed close of the caller (the watch saw it within 50 ms), a deferred close by the selector (closing on the I/O thread changed nothing).

Change: HttpClient.abort takes the raw connection and closes it; a cancelled call fails what it waits for; a waiting read sees the close within 100 ms.

--- /dev/null
+++ b/core/src/test/java/org/banyanstile/core/limit/RetryShareTests.java
@@ -0,0 +1,53 @@
+package org.banyanstile.core.limit;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/**
+ * Tests for {@link RetryShare}.
+ *
+ * @author banyanstile contributors
+ */
+class RetryShareTests {
+
+	private static final long SECOND = 1_000_000_000;
+
+	@Test
+	void sumOverVmsStaysInTheBudgetThoughNoneHearsTheOthers() {
+		int vms = 8;
+		List<RetryShare> shares = new ArrayList<>();
+		for (int i = 0; i < vms; i++) {
+			shares.add(RetryShare.create(10 * SECOND));
+		}
+		int repeats = 0;
+		for (int i = 0; i < 400; i++) {
+			RetryShare share = shares.get(i % vms);
+			long now = i * SECOND / 50;
+			share.request(now);
+			for (int k = 0; k < 5; k++) {
+				repeats += share.tryRepeat(0.2, 56, vms, now) ? 1 : 0;
+			}
+		}
+		assertThat((double) repeats, is(lessThanOrEqualTo(0.2 * 400 + 56)));
+	}
+
+	@Test
+	void oneVmMayRepeatAtOnceFromTheFixedExtra() {
+		assertThat(RetryShare.create(10 * SECOND).tryRepeat(0.2, 56, 8, 0), is(true));
+	}
+
+	@Test
+	void repeatsOfAnEarlierWindowDoNotCount() {
+		RetryShare share = RetryShare.create(10 * SECOND);
+		assertThat(share.tryRepeat(0, 2, 1, 0), is(true));
+		assertThat(share.tryRepeat(0, 2, 1, SECOND), is(false));
+		assertThat(share.tryRepeat(0, 2, 1, 11 * SECOND), is(true));
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/banyanstile/core/placement/EndpointPickerTests.java
@@ -0,0 +1,97 @@
+package org.banyanstile.core.placement;
+
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import org.banyanstile.core.catalog.EndpointPhase;
+import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.nullValue;
+
+/**
+ * Tests for {@link EndpointPicker}.
+ *
+ * @author banyanstile contributors
+ */
+class EndpointPickerTests {
+
+	private final EndpointLoads loads = new EndpointLoads();
+
+	private final EndpointHealth health = new EndpointHealth();
+
+	private final EndpointPicker picker = EndpointPicker.create(this.loads, this.health, new Random(1));
+
+	private final RegisteredEndpoint one = endpoint("one");
+
+	private final RegisteredEndpoint two = endpoint("two");
+
+	private static RegisteredEndpoint endpoint(String id) {
+		return new RegisteredEndpoint(id, "desk", "10.0.0.1:80", "dc1", EndpointPhase.PLAIN, true, 6, 0);
+	}
+
+	private int chosen(RegisteredEndpoint wanted) {
+		int count = 0;
+		for (int i = 0; i < 100; i++) {
+			count += (this.picker.fastest(List.of(this.one, this.two), Set.of(), 0) == wanted) ? 1 : 0;
+		}
+		return count;
+	}
+
+	@Test
+	void unreachableEndpointGetsNothingWhileAnotherIsThere() {
+		this.health.unreachable("one", 0);
+		assertThat(chosen(this.one), is(0));
+	}
+
+	@Test
+	void unreachableEndpointIsTriedAgainAfterItsPause() {
+		this.health.unreachable("one", 0);
+		assertThat(this.health.isUsable("one", EndpointHealth.FIRST_PAUSE_NANOS), is(true));
+	}
+
+	@Test
+	void endpointThatFailsOftenGetsLess() {
+		for (int i = 0; i < 10; i++) {
+			this.health.answered("one", 50, true, 0);
+			this.health.answered("two", 50, false, 0);
+		}
+		assertThat(chosen(this.one), is(lessThan(10)));
+	}
+
+	@Test
+	void slowEndpointGetsLess() {
+		for (int i = 0; i < 10; i++) {
+			this.health.answered("one", 400, false, 0);
+			this.health.answered("two", 80, false, 0);
+		}
+		assertThat(chosen(this.one), is(0));
+	}
+
+	@Test
+	void endpointThatOtherVmsHaveFilledGetsLess() {
+		this.loads.report("vm2", List.of(new EndpointLoads.Load("one", 20, 0)), 0);
+		assertThat(chosen(this.one), is(0));
+	}
+
+	@Test
+	void triedEndpointComesLast() {
+		assertThat(this.picker.fastest(List.of(this.one, this.two), Set.of("one"), 0), is(this.two));
+	}
+
+	@Test
+	void decodeEngineWithMostFreeMemoryComesFirst() {
+		this.loads.report("vm2", List.of(new EndpointLoads.Load("one", 5, 20_000)), 0);
+		assertThat(this.picker.mostFreeMemory(List.of(this.one, this.two), 34_000, 4000, 0).get(0), is(this.two));
+	}
+
+	@Test
+	void prefillEngineThatWasTriedIsLeftOut() {
+		assertThat(this.picker.leastTokens(List.of(this.one), Set.of("one"), 0), is(nullValue()));
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/banyanstile/core/placement/RoleBalanceTests.java
@@ -0,0 +1,75 @@
+package org.banyanstile.core.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.banyanstile.core.catalog.EndpointPhase;
+import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/**
+ * Tests for {@link RoleBalance}.
+ *
+ * @author banyanstile contributors
+ */
+class RoleBalanceTests {
+
+	private static List<RegisteredEndpoint> engines(int prefill, int decode) {
+		List<RegisteredEndpoint> engines = new ArrayList<>();
+		for (int i = 0; i < prefill + decode; i++) {
+			engines.add(new RegisteredEndpoint("e" + i, "llm", "10.0.0.1:80", "dc" + i % 3,
+					(i < prefill) ? EndpointPhase.PREFILL : EndpointPhase.DECODE, true, 64, 0));
+		}
+		return engines;
+	}
+
+	private static List<RoleBalance.RoleChange> plan(List<RegisteredEndpoint> engines,
+			Map<String, EndpointPhase> changing) {
+		return RoleBalance.plan(engines, changing, (id) -> 0);
+	}
+
+	@Test
+	void surplusOfPrefillEnginesGenerates() {
+		List<RoleBalance.RoleChange> plan = plan(engines(5, 8), Map.of());
+		assertThat(plan, hasSize(2));
+		assertThat(plan.get(0).phase(), is(EndpointPhase.DECODE));
+	}
+
+	@Test
+	void lostPrefillEnginesAreReplaced() {
+		List<RoleBalance.RoleChange> plan = plan(engines(0, 5), Map.of());
+		assertThat(plan, hasSize(1));
+		assertThat(plan.get(0).phase(), is(EndpointPhase.PREFILL));
+	}
+
+	@Test
+	void engineThatChangesCountsAsItsNewPart() {
+		assertThat(plan(engines(3, 3), Map.of("e0", EndpointPhase.DECODE)), is(empty()));
+	}
+
+	@Test
+	void fittingPartsAreLeftAlone() {
+		for (int n = 2; n < 70; n++) {
+			int prefill = RoleBalance.prefillTarget(n);
+			assertThat(plan(engines(prefill, n - prefill), Map.of()), is(empty()));
+		}
+	}
+
+	@Test
+	void onlyAFewEnginesChangeAtOnce() {
+		assertThat(plan(engines(40, 20), Map.of()).size(), is(lessThanOrEqualTo(RoleBalance.MAX_ORDERS)));
+	}
+
+	@Test
+	void singleEngineGenerates() {
+		assertThat(RoleBalance.prefillTarget(1), is(0));
+	}
+
+}
--- a/io/src/main/java/org/banyanstile/io/http/CallHandle.java
+++ b/io/src/main/java/org/banyanstile/io/http/CallHandle.java
@@ -1,8 +1,10 @@
 package org.banyanstile.io.http;
 
+import java.nio.channels.ClosedChannelException;
+import java.util.concurrent.CompletableFuture;
+
 import io.undertow.client.ClientConnection;
 import org.jspecify.annotations.Nullable;
-import org.xnio.IoUtils;
 
 /**
  * Cancels a call of {@link HttpClient} from another thread by closing its connection. A
@@ -14,18 +16,34 @@
 
 	private @Nullable ClientConnection connection;
 
+	private @Nullable CompletableFuture<?> pending;
+
 	private boolean cancelled;
 
 	synchronized boolean begin(ClientConnection next) {
 		this.connection = next;
+		this.pending = null;
 		return !this.cancelled;
 	}
 
+	/**
+	 * Sets what the call waits for. Closing a connection does not fail a response that is
+	 * still to come.
+	 * @param next fails when the call is cancelled
+	 */
+	synchronized void waitFor(CompletableFuture<?> next) {
+		this.pending = next;
+		if (this.cancelled) {
+			next.completeExceptionally(new ClosedChannelException());
+		}
+	}
+
 	/**
 	 * Forgets the connection of the last call, which may go back to its pool.
 	 */
 	public synchronized void end() {
 		this.connection = null;
+		this.pending = null;
 	}
 
 	/**
@@ -41,12 +59,18 @@
 	 */
 	public void cancel() {
 		ClientConnection running;
+		CompletableFuture<?> waiting;
 		synchronized (this) {
 			this.cancelled = true;
 			running = this.connection;
+			waiting = this.pending;
 			this.connection = null;
+			this.pending = null;
+		}
+		HttpClient.abort(running);
+		if (waiting != null) {
+			waiting.completeExceptionally(new ClosedChannelException());
 		}
-		IoUtils.safeClose(running);
 	}
 
 }
--- a/io/src/main/java/org/banyanstile/io/http/HttpClient.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpClient.java
@@ -105,7 +105,7 @@
 			if (!handle.begin(connection)) {
 				throw new ConnectFailedException("the call to " + request.address() + " was cancelled", null);
 			}
-			HttpResponse response = exchange(request, connection);
+			HttpResponse response = exchange(request, connection, handle);
 			done = true;
 			return response;
 		}
@@ -114,14 +114,16 @@
 		}
 		finally {
 			if (!done) {
-				IoUtils.safeClose(connection);
+				abort(connection);
 			}
 		}
 	}
 
-	private HttpResponse exchange(HttpRequest request, ClientConnection connection) throws IOException, HttpException {
+	private HttpResponse exchange(HttpRequest request, ClientConnection connection, CallHandle handle)
+			throws IOException, HttpException {
 		CompletableFuture<ClientExchange> started = new CompletableFuture<>();
 		CompletableFuture<ClientExchange> answered = new CompletableFuture<>();
+		handle.waitFor(answered);
 		ClientRequest head = head(request);
 		connection.getIoThread().execute(() -> connection.sendRequest(head, new StartCallback(started, answered)));
 		ClientExchange exchange = await(started, request);
@@ -231,6 +233,26 @@
 		}
 	}
 
+	/**
+	 * Closes the socket of a connection at once. The client's own close only ends the
+	 * request that is being written and waits for the rest of the response, so a server
+	 * would go on with a request that nobody waits for.
+	 * @param connection the connection, or {@code null} for none
+	 */
+	static void abort(@Nullable ClientConnection connection) {
+		if (connection == null || !connection.isOpen()) {
+			return;
+		}
+		connection.getIoThread().execute(() -> {
+			try {
+				IoUtils.safeClose(connection.performUpgrade());
+			}
+			catch (IOException ex) {
+				IoUtils.safeClose(connection);
+			}
+		});
+	}
+
 	/**
 	 * Returns the number of connections that were opened or tried.
 	 * @return the number
@@ -247,7 +269,7 @@
 		Deque<IdleConnection> connections = this.idle.computeIfAbsent(key(request),
 				(key) -> new ConcurrentLinkedDeque<>());
 		if (!reusable || !connection.isOpen() || connections.size() >= MAX_IDLE_PER_PEER) {
-			IoUtils.safeClose(connection);
+			abort(connection);
 			return;
 		}
 		connections.addFirst(new IdleConnection(connection, System.nanoTime()));
--- a/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -29,6 +30,11 @@
 
 	private static final int BUFFER_BYTES = 8192;
 
+	/**
+	 * Interval at which a waiting read checks whether the connection was closed.
+	 */
+	private static final long CLOSE_CHECK_NANOS = 100_000_000;
+
 	private final HttpClient client;
 
 	private final HttpRequest request;
@@ -221,7 +227,11 @@
 				throw new ResponseTimeoutException(
 						this.address + " sent nothing for " + this.timeout.toMillis() + " ms", null);
 			}
-			this.channel.awaitReadable(left, TimeUnit.NANOSECONDS);
+			// A close by another thread does not wake this one.
+			if (!this.connection.isOpen()) {
+				throw new ClosedChannelException();
+			}
+			this.channel.awaitReadable(Math.min(left, CLOSE_CHECK_NANOS), TimeUnit.NANOSECONDS);
 		}
 	}
 
--- /dev/null
+++ b/server/src/test/java/org/banyanstile/server/gossip/MembershipTests.java
@@ -0,0 +1,67 @@
+package org.banyanstile.server.gossip;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests for {@link Membership}.
+ *
+ * @author banyanstile contributors
+ */
+class MembershipTests {
+
+	private static final long SECOND = 1_000_000_000;
+
+	private final Membership membership = Membership.of(member("vm2", 5, 0, "dc1"));
+
+	private static GossipMember member(String vm, long incarnation, long beat, String dataCentre) {
+		return new GossipMember(vm, incarnation, beat, dataCentre, vm + ":80", vm + ":90",
+				MemberState.SERVING.ordinal());
+	}
+
+	@Test
+	void vmWhoseCounterStandsStillIsDead() {
+		this.membership.merge(List.of(member("vm1", 1, 7, "dc1")), 0);
+		this.membership.merge(List.of(member("vm1", 1, 7, "dc1")), 2 * SECOND);
+		assertThat(this.membership.alivePeers(2 * SECOND), hasSize(1));
+		assertThat(this.membership.alivePeers(2 * SECOND + 1), is(empty()));
+	}
+
+	@Test
+	void restartedVmIsAliveThoughItsCounterBeganAgain() {
+		this.membership.merge(List.of(member("vm1", 1, 700, "dc1")), 0);
+		this.membership.merge(List.of(member("vm1", 2, 1, "dc1")), 3 * SECOND);
+		assertThat(this.membership.alivePeers(3 * SECOND), hasSize(1));
+	}
+
+	@Test
+	void vmOutlivesItsEarlierLifeAfterTheClockJumpedBack() {
+		this.membership.merge(List.of(member("vm2", 99, 7, "dc1")), 0);
+		assertThat(this.membership.self().incarnation(), is(greaterThan(99L)));
+	}
+
+	@Test
+	void firstLivingVmOfADataCentreReads() {
+		this.membership.merge(List.of(member("vm1", 1, 1, "dc2"), member("vm3", 1, 1, "dc1")), 0);
+		assertThat(this.membership.isFirstOfDataCentre(0), is(true));
+		assertThat(this.membership.isFirstOfFleet(0), is(false));
+		assertThat(this.membership.isFirstOfFleet(3 * SECOND), is(true));
+	}
+
+	@Test
+	void deadVmKeepsItsShareOfLimitsForSomeTime() {
+		this.membership.merge(List.of(member("vm1", 1, 1, "dc1")), 0);
+		this.membership.merge(List.of(), 10 * SECOND);
+		assertThat(this.membership.size(), is(2));
+		this.membership.merge(List.of(), 21 * SECOND);
+		assertThat(this.membership.size(), is(1));
+	}
+
+}
--- /dev/null
+++ b/server/src/test/java/org/banyanstile/server/view/FleetViewTests.java
@@ -0,0 +1,139 @@
+package org.banyanstile.server.view;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.banyanstile.core.catalog.Catalog;
+import org.banyanstile.core.catalog.EndpointPhase;
+import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.banyanstile.core.replica.ReplicaRow;
+import org.banyanstile.server.router.DecisionLog;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests for {@link FleetView}.
+ *
+ * @author banyanstile contributors
+ */
+class FleetViewTests {
+
+	private final AtomicLong nanos = new AtomicLong();
+
+	private final FleetView view = FleetView.create(new TextDecoder(), this.nanos::get, DecisionLog.create());
+
+	private long version;
+
+	private void put(FleetTable table, String key, String value) {
+		apply(table, List.of(new ReplicaRow(key, this.version + 1,
+				(value != null) ? value.getBytes(StandardCharsets.UTF_8) : null)));
+	}
+
+	private void apply(FleetTable table, List<ReplicaRow> rows) {
+		long after = this.version;
+		this.version++;
+		this.view.apply(table, after, new TableRead(rows, this.version, this.version));
+	}
+
+	private List<RegisteredEndpoint> usable() {
+		return this.view.snapshot().usable("desk", EndpointPhase.PLAIN);
+	}
+
+	private void removeTogether(int count) {
+		List<ReplicaRow> rows = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			rows.add(new ReplicaRow("e" + i, this.version + 1, null));
+		}
+		apply(FleetTable.ENDPOINTS, rows);
+	}
+
+	@Test
+	void configurationNeverGoesBack() {
+		put(FleetTable.OPERATOR, "config", "9");
+		put(FleetTable.OPERATOR, "config", "4");
+		assertThat(this.view.snapshot().catalog().version(), is(9L));
+	}
+
+	@Test
+	void malformedConfigurationLeavesThePreviousOneInForce() {
+		put(FleetTable.OPERATOR, "config", "9");
+		put(FleetTable.OPERATOR, "config", "x");
+		assertThat(this.view.snapshot().catalog().version(), is(9L));
+	}
+
+	@Test
+	void drainingOrRemovedEndpointIsNotUsable() {
+		put(FleetTable.ENDPOINTS, "e0", "ready");
+		put(FleetTable.ENDPOINTS, "e1", "ready");
+		put(FleetTable.ENDPOINTS, "e2", "ready");
+		put(FleetTable.ENDPOINTS, "e0", "draining");
+		put(FleetTable.ENDPOINTS, "e1", null);
+		assertThat(usable(), hasSize(1));
+	}
+
+	@Test
+	void endpointsThatLapseTogetherAreKeptUntilTheyCanBeBack() {
+		for (int i = 0; i < 4; i++) {
+			put(FleetTable.ENDPOINTS, "e" + i, "ready");
+		}
+		removeTogether(4);
+		this.view.tick();
+		assertThat(usable(), hasSize(4));
+		put(FleetTable.ENDPOINTS, "e0", "ready");
+		this.nanos.set(FleetView.LAPSE_GRACE_NANOS);
+		this.view.tick();
+		assertThat(usable(), hasSize(1));
+	}
+
+	@Test
+	void evacuatedDataCentreHasNoUsableEndpoint() {
+		put(FleetTable.ENDPOINTS, "e0", "ready");
+		put(FleetTable.OPERATOR, "evacuate/dc1", "{}");
+		assertThat(usable(), hasSize(0));
+		put(FleetTable.OPERATOR, "evacuate/dc1", null);
+		assertThat(usable(), hasSize(1));
+	}
+
+	/**
+	 * Reads a configuration from its version, and an endpoint from its state.
+	 *
+	 * @author banyanstile contributors
+	 */
+	private static final class TextDecoder implements RowDecoder {
+
+		@Override
+		public boolean isCatalog(String key) {
+			return key.equals("config");
+		}
+
+		@Override
+		public String evacuatedDataCentre(String key) {
+			return key.startsWith("evacuate/") ? key.substring(9) : null;
+		}
+
+		@Override
+		public Catalog decodeCatalog(byte[] value) throws MalformedRowException {
+			try {
+				long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+				return Catalog.of(version, List.of(), List.of(), Map.of(), false, 1);
+			}
+			catch (NumberFormatException ex) {
+				throw new MalformedRowException("no number", ex);
+			}
+		}
+
+		@Override
+		public RegisteredEndpoint decodeEndpoint(String id, byte[] value) {
+			boolean ready = new String(value, StandardCharsets.UTF_8).equals("ready");
+			return new RegisteredEndpoint(id, "desk", "10.0.0.1:80", "dc1", EndpointPhase.PLAIN, ready, 6, 0);
+		}
+
+	}
+
+}
