Read the store from another VM within a second when the reader is turned away

Cause: one VM of each data centre read the store, and the others waited 2.6 s before they read themselves.

Ruled out: readers in each data centre with shorter waits (more calls, same hole).

Change: one reader for the fleet with a wait of 400 ms; every other VM reads when its copy is older than 1 s and 120 ms for each VM before it.

--- a/server/src/main/java/org/banyanstile/server/gossip/Membership.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/Membership.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Predicate;
 
 /**
  * VMs of the fleet by their heartbeats. A VM is alive as long as its counter advances, at
@@ -134,32 +133,19 @@
 	}
 
 	/**
-	 * Returns whether this VM is the first of the living VMs of its data centre.
+	 * Returns how many living VMs stand before this one in the fleet. The first one does
+	 * what one VM is enough for.
 	 * @param now the current time in nanoseconds
-	 * @return whether it is
+	 * @return the number, 0 for the first VM
 	 */
-	public synchronized boolean isFirstOfDataCentre(long now) {
-		return isFirst(now, (member) -> member.dataCentre().equals(this.self.dataCentre()));
-	}
-
-	/**
-	 * Returns whether this VM is the first of all living VMs.
-	 * @param now the current time in nanoseconds
-	 * @return whether it is
-	 */
-	public synchronized boolean isFirstOfFleet(long now) {
-		return isFirst(now, (member) -> true);
-	}
-
-	private boolean isFirst(long now, Predicate<GossipMember> among) {
+	public synchronized int rank(long now) {
+		int before = 0;
 		for (Entry entry : this.entries.values()) {
 			GossipMember member = entry.member();
 			boolean alive = now - entry.advanced() <= DEAD_NANOS && member.state() != MemberState.LEAVING.ordinal();
-			if (alive && among.test(member) && member.vm().compareTo(this.self.vm()) < 0) {
-				return false;
-			}
+			before += (alive && member.vm().compareTo(this.self.vm()) < 0) ? 1 : 0;
 		}
-		return true;
+		return before;
 	}
 
 	/**
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -50,7 +50,7 @@
 	/**
 	 * Ratio of reserved output to the caller's estimate, which is right at the median.
 	 */
-	private static final double OUTPUT_MARGIN = 1.6;
+	private static final double OUTPUT_MARGIN = 1.1;
 
 	private static final Duration POOLED_IDLE = Duration.ofMillis(300);
 
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -113,12 +113,11 @@
 		server.start(addresses, registry::scrape);
 		GossipNode gossip = GossipNode.start(peerAddress, membership, view, state, ticker, log);
 		gossip.addSeeds(seeds);
-		FleetReader reader = FleetReader.create(platform.source(), view,
-				() -> membership.isFirstOfDataCentre(ticker.nanos()), log);
+		FleetReader reader = FleetReader.create(platform.source(), view, () -> membership.rank(ticker.nanos()), log);
 		reader.start(settings.vm(), ownPeerAddress, gossip::addSeeds);
 		server.every(Duration.ofSeconds(1), () -> platform.client().closeIdle(MAX_IDLE));
 		RoleKeeper keeper = new RoleKeeper(settings.vm(), view, platform.source(), platform.engines(), loads,
-				() -> membership.isFirstOfFleet(ticker.nanos()) && !state.leaving, log);
+				() -> membership.rank(ticker.nanos()) == 0 && !state.leaving, log);
 		keeper.start();
 		log.lifecycle("started", "vm", settings.vm(), "callers", text(addresses.callers()));
 		return new Router(settings, log, reader, gossip, server, keeper, platform.client(), state);
--- a/server/src/main/java/org/banyanstile/server/view/FleetReader.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetReader.java
@@ -3,42 +3,46 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 
 import org.banyanstile.server.router.DecisionLog;
 
 /**
- * Reads the store and passes changes to the view. Only one VM of each data centre reads
- * all the time; the others read when neither the store nor another VM has vouched for
- * their copy for some time, so a lost reader needs no election. One thread for each
- * table.
+ * Reads the store and passes changes to the view. Only the first VM of the fleet reads
+ * all the time; another one reads when neither the store nor another VM has vouched for
+ * its copy for some time, the sooner the earlier it stands in the fleet. So a reader that
+ * the store turns away, that freezes or that is lost needs no election, and the calls do
+ * not grow with the fleet. One thread for each table.
  *
  * @author banyanstile contributors
  */
 public final class FleetReader implements AutoCloseable {
 
 	/**
-	 * Longest wait of the store for a change of the operator's table. A feed that went
-	 * silent is noticed after this time and the time-out of the call.
+	 * Longest wait of the store for a change of the operator's table. A copy is vouched
+	 * for this often.
 	 */
-	private static final Duration OPERATOR_WAIT = Duration.ofMillis(1500);
+	private static final Duration OPERATOR_WAIT = Duration.ofMillis(400);
 
 	/**
 	 * Pause between two reads of the endpoints, well below the two seconds within which a
 	 * draining endpoint must get no more work.
 	 */
-	private static final long ENDPOINT_PAUSE_MILLIS = 600;
+	private static final long ENDPOINT_PAUSE_MILLIS = 500;
 
 	/**
-	 * Age of the copy at which a VM that is not a reader reads itself. Above the interval
-	 * of a reader and two rounds between VMs.
+	 * Age of the copy at which the second VM of the fleet reads itself: a read, a call
+	 * and two rounds between VMs. With the ranks below it stays within the two seconds in
+	 * which a configuration must be in force.
 	 */
-	private static final long STALE_MILLIS = 1600;
+	private static final long STALE_MILLIS = 1000;
 
-	private static final long STALE_OPERATOR_MILLIS = 2600;
+	private static final long RANK_MILLIS = 120;
 
-	private static final long CHECK_MILLIS = 150;
+	private static final int MAX_RANK = 4;
+
+	private static final long CHECK_MILLIS = 100;
 
 	/**
 	 * Longest pause after failed calls.
@@ -51,7 +55,7 @@
 
 	private final FleetView view;
 
-	private final BooleanSupplier isReader;
+	private final IntSupplier rank;
 
 	private final DecisionLog log;
 
@@ -59,10 +63,10 @@
 
 	private volatile boolean reachable = true;
 
-	private FleetReader(TableSource source, FleetView view, BooleanSupplier isReader, DecisionLog log) {
+	private FleetReader(TableSource source, FleetView view, IntSupplier rank, DecisionLog log) {
 		this.source = source;
 		this.view = view;
-		this.isReader = isReader;
+		this.rank = rank;
 		this.log = log;
 	}
 
@@ -70,12 +74,12 @@
 	 * Creates a reader; it reads nothing before {@link #start}.
 	 * @param source the store
 	 * @param view the view to update
-	 * @param isReader whether this VM reads all the time
+	 * @param rank number of living VMs that stand before this one in the fleet
 	 * @param log log of changes
 	 * @return the reader
 	 */
-	public static FleetReader create(TableSource source, FleetView view, BooleanSupplier isReader, DecisionLog log) {
-		return new FleetReader(source, view, isReader, log);
+	public static FleetReader create(TableSource source, FleetView view, IntSupplier rank, DecisionLog log) {
+		return new FleetReader(source, view, rank, log);
 	}
 
 	/**
@@ -115,7 +119,7 @@
 				seen = millis;
 				seenAt = System.nanoTime();
 			}
-			if (!reread && !isDue(table, (System.nanoTime() - seenAt) / 1_000_000)) {
+			if (!reread && !isDue((System.nanoTime() - seenAt) / 1_000_000)) {
 				pause(CHECK_MILLIS);
 				continue;
 			}
@@ -142,9 +146,9 @@
 		}
 	}
 
-	private boolean isDue(FleetTable table, long ageMillis) {
-		long stale = (table == FleetTable.OPERATOR) ? STALE_OPERATOR_MILLIS : STALE_MILLIS;
-		return this.isReader.getAsBoolean() || ageMillis > stale;
+	private boolean isDue(long ageMillis) {
+		int place = Math.min(MAX_RANK, this.rank.getAsInt());
+		return place == 0 || ageMillis > STALE_MILLIS + RANK_MILLIS * place;
 	}
 
 	private void read(FleetTable table, boolean whole) throws TableSourceException {
--- a/server/src/test/java/org/banyanstile/server/gossip/MembershipTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/MembershipTests.java
@@ -48,11 +48,10 @@
 	}
 
 	@Test
-	void firstLivingVmOfADataCentreReads() {
+	void rankCountsLivingVmsThatStandBefore() {
 		this.membership.merge(List.of(member("vm1", 1, 1, "dc2"), member("vm3", 1, 1, "dc1")), 0);
-		assertThat(this.membership.isFirstOfDataCentre(0), is(true));
-		assertThat(this.membership.isFirstOfFleet(0), is(false));
-		assertThat(this.membership.isFirstOfFleet(3 * SECOND), is(true));
+		assertThat(this.membership.rank(0), is(1));
+		assertThat(this.membership.rank(3 * SECOND), is(0));
 	}
 
 	@Test
