Keep two engines for prompts and bound what an engine is promised

Change: a service of four engines keeps two for prompts; a decode engine reads the prompt itself while the idlest prefill engine has 13,000 tokens to read; an engine that refused a prompt rests for 0.3 s; expected sizes on an engine stay under 1.1 times its memory. 'banyanstile trace' prints a request's log lines over all VMs.

--- a/core/src/main/java/org/banyanstile/core/placement/EndpointHealth.java
+++ b/core/src/main/java/org/banyanstile/core/placement/EndpointHealth.java
@@ -60,6 +60,18 @@
 		state.pausedUntil = now + pause;
 	}
 
+	/**
+	 * Notes that an endpoint refused a request before it ran. A pause of the length of
+	 * the first one keeps a line of requests from asking a full or changing endpoint in
+	 * vain.
+	 * @param endpoint id of the endpoint
+	 * @param now the current time in nanoseconds
+	 */
+	public synchronized void refused(String endpoint, long now) {
+		State state = state(endpoint, now);
+		state.pausedUntil = Math.max(state.pausedUntil, now + FIRST_PAUSE_NANOS);
+	}
+
 	/**
 	 * Notes that another instance answers at the address of an endpoint.
 	 * @param endpoint id of the endpoint
--- a/core/src/main/java/org/banyanstile/core/placement/RoleBalance.java
+++ b/core/src/main/java/org/banyanstile/core/placement/RoleBalance.java
@@ -27,6 +27,14 @@
 	 */
 	static final double PREFILL_SHARE = 0.2;
 
+	/**
+	 * Engines that read prompts in a service of {@link #SMALL} engines or more. A single
+	 * one has no reserve for bursts, and its loss stops all reading.
+	 */
+	static final int MIN_PREFILL = 2;
+
+	static final int SMALL = 4;
+
 	/**
 	 * Orders in one round. An engine is out of service for some seconds while it changes,
 	 * so during the day only a part may change at once.
@@ -42,7 +50,11 @@
 	 * @return the number
 	 */
 	public static int prefillTarget(int engines) {
-		return (engines < 2) ? 0 : Math.max(1, (int) Math.ceil(PREFILL_SHARE * engines));
+		if (engines < 2) {
+			return 0;
+		}
+		int least = (engines >= SMALL) ? MIN_PREFILL : 1;
+		return Math.max(least, (int) Math.ceil(PREFILL_SHARE * engines));
 	}
 
 	/**
--- a/core/src/test/java/org/banyanstile/core/placement/RoleBalanceTests.java
+++ b/core/src/test/java/org/banyanstile/core/placement/RoleBalanceTests.java
@@ -45,7 +45,7 @@
 	@Test
 	void lostPrefillEnginesAreReplaced() {
 		List<RoleBalance.RoleChange> plan = plan(engines(0, 5), Map.of());
-		assertThat(plan, hasSize(1));
+		assertThat(plan, hasSize(RoleBalance.MIN_PREFILL));
 		assertThat(plan.get(0).phase(), is(EndpointPhase.PREFILL));
 	}
 
@@ -67,6 +67,12 @@
 		assertThat(plan(engines(40, 20), Map.of()).size(), is(lessThanOrEqualTo(RoleBalance.MAX_ORDERS)));
 	}
 
+	@Test
+	void smallServiceKeepsTwoEnginesForPromptsWhenOneEngineLeaves() {
+		assertThat(plan(engines(2, 4), Map.of()), is(empty()));
+		assertThat(plan(engines(2, 3), Map.of()), is(empty()));
+	}
+
 	@Test
 	void singleEngineGenerates() {
 		assertThat(RoleBalance.prefillTarget(1), is(0));
--- a/server/src/main/java/org/banyanstile/server/router/DecodePlaces.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodePlaces.java
@@ -42,7 +42,15 @@
 	 * over. A late answer is still worth a part, but a caller that is refused can return
 	 * while it has most of its deadline left.
 	 */
-	private static final long LATE_WAIT_MILLIS = 2500;
+	private static final long LATE_WAIT_MILLIS = 2000;
+
+	/**
+	 * Ratio of the expected final sizes of an engine's requests to its memory. A running
+	 * request has on average made half of its output, which is a fifth of its size. An
+	 * engine's reservation covers only the first seconds, so without this bound running
+	 * requests outgrow the memory and are preempted, and their prompts are read again.
+	 */
+	private static final double OVERCOMMIT = 1.1;
 
 	private static final int BLOCK_TOKENS = 16;
 
@@ -119,7 +127,7 @@
 				break;
 			}
 			long used = this.services.loads().total(engine.id()).tokens();
-			if (asked > 0 && used + this.tokens > this.traits.memoryTokens()) {
+			if (used > 0 && used + this.tokens > OVERCOMMIT * this.traits.memoryTokens()) {
 				break;
 			}
 			if (!this.services.mayTakeCold(engine)) {
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -41,6 +41,12 @@
 	 */
 	private static final long PREFILL_MILLIS = 2500;
 
+	/**
+	 * Tokens that wait at the idlest prefill engine above which the decode engine reads
+	 * the prompt itself, at half the speed. Reading these takes some 400 ms.
+	 */
+	private static final long MAX_BACKLOG_TOKENS = 13_000;
+
 	/**
 	 * Silence after which a stream that may be resumed goes on elsewhere. Events of a
 	 * sound engine are 50 to 90 ms apart, and callers give up after two seconds or more.
@@ -155,7 +161,10 @@
 		PrefilledPrompt prompt = prefill(place);
 		boolean sent = false;
 		try {
-			if (this.call.isOver() || !this.services.view().snapshot().isUsable(place.engine())) {
+			if (this.call.isOver()) {
+				throw NotRunException.notSent("the time was over, or the caller gone, before the request was sent");
+			}
+			if (!this.services.view().snapshot().isUsable(place.engine())) {
 				throw NotRunException.notSent("engine " + place.engine().id() + " left before the request was sent");
 			}
 			sent = true;
@@ -185,7 +194,7 @@
 				.snapshot()
 				.usable(this.call.service(), EndpointPhase.PREFILL);
 			RegisteredEndpoint engine = this.services.picker().leastTokens(engines, tried, System.nanoTime());
-			if (engine == null) {
+			if (engine == null || this.services.loads().total(engine.id()).tokens() > MAX_BACKLOG_TOKENS) {
 				return null;
 			}
 			tried.add(engine.id());
@@ -200,6 +209,7 @@
 			}
 			catch (NotRunException ex) {
 				repeat |= ex.hasArrived();
+				this.services.health().refused(engine.id(), System.nanoTime());
 				log(engine, "prefill not run", ex.getMessage());
 			}
 			catch (UnknownOutcomeException | HttpException ex) {
--- a/tools/src/main/java/org/banyanstile/tools/Banyanstile.java
+++ b/tools/src/main/java/org/banyanstile/tools/Banyanstile.java
@@ -33,6 +33,7 @@
 		group("key", Map.of("create", new KeyCreateCommand(), "hash", new KeyHashCommand()));
 		this.root.addCommand("status", new StatusCommand());
 		this.root.addCommand("burn", new BurnCommand());
+		this.root.addCommand("trace", new TraceCommand());
 	}
 
 	/**
--- a/tools/src/test/java/org/banyanstile/tools/BanyanstileTests.java
+++ b/tools/src/test/java/org/banyanstile/tools/BanyanstileTests.java
@@ -113,4 +113,25 @@
 		}
 	}
 
+	@Test
+	void traceOrdersTheLinesOfARequestOverAllVms() throws Exception {
+		String first = Files.writeString(this.directory.resolve("vm1.log"), """
+				vm1 {"time":"2026-01-01T00:00:02.000Z","message":{"event":"refused","request":"r1","status":"503"}}
+				vm1 {"time":"2026-01-01T00:00:01.000Z","message":{"event":"accepted","request":"r2"}}
+				no event at all
+				""").toString();
+		String second = "vm2 {\"time\":\"2026-01-01T00:00:01.500Z\",\"message\":{\"event\":\"accepted\",\"request\":\"r1\"}}\n";
+		assertThat(run(second, "trace", "r1", first, "-"), is(0));
+		String text = this.out.toString(StandardCharsets.UTF_8);
+		assertThat(text.indexOf("accepted"), is(not(-1)));
+		assertThat(text.indexOf("accepted") < text.indexOf("refused"), is(true));
+		assertThat(text, not(containsString("r2")));
+	}
+
+	@Test
+	void traceOfAnUnknownRequestSaysSo() {
+		assertThat(run("", "trace", "r1", "-"), is(1));
+		assertThat(run("", "trace", "r1"), is(2));
+	}
+
 }
