Leave the rank of generations to the line before the reservation

Change: no urgency is sent; a returning caller joins the line behind those that can still be in time.

--- a/server/src/main/java/org/banyanstile/server/router/DecodePlaces.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodePlaces.java
@@ -80,7 +80,7 @@
 		}
 		AdmissionLine line = this.services.line(this.call.service());
 		long onTime = this.call.route().objectiveMillis() - FIRST_EVENT_MILLIS;
-		boolean late = this.call.ageMillis() > onTime;
+		boolean late = this.call.ageMillis() > onTime || this.call.isReturning();
 		AdmissionLine.Ticket ticket = line.join(late, this.call.priority(), this.tokens);
 		long patience = onTime + LATE_WAIT_MILLIS;
 		try {
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -60,9 +60,12 @@
 
 	private static final Duration POOLED_IDLE = Duration.ofMillis(300);
 
-	private static final int URGENCY_ON_TIME = 4;
-
-	private static final int URGENCY_LATE = 7;
+	/**
+	 * Generations are not ranked at the engine. A more urgent one would preempt running
+	 * ones, whose prompts are then read again; the line before the reservation ranks
+	 * them.
+	 */
+	private static final int NO_URGENCY = -1;
 
 	private final RouterServices services;
 
@@ -226,7 +229,7 @@
 		long began = System.nanoTime();
 		this.services.loads().begin(engine.id(), tokens);
 		EndpointFields fields = new EndpointFields(engine.id(), this.call.team(), this.call.endpointMillis(), true,
-				null, null, urgency(), null);
+				null, null, NO_URGENCY, null);
 		Duration timeout = Duration.ofMillis(Math.max(1, Math.min(PREFILL_MILLIS, this.call.leftMillis())));
 		try (HttpResponse response = this.services.client().send(this.call, engine, fields, POOLED_IDLE, timeout)) {
 			byte[] body = response.bytes(MAX_HANDLE_BYTES);
@@ -245,15 +248,11 @@
 		}
 	}
 
-	private int urgency() {
-		return (this.call.ageMillis() < this.call.route().objectiveMillis()) ? URGENCY_ON_TIME : URGENCY_LATE;
-	}
-
 	private boolean stream(DecodePlace place, @Nullable PrefilledPrompt prompt)
 			throws NotRunException, UnknownOutcomeException, IOException {
 		RegisteredEndpoint engine = place.engine();
 		EndpointFields fields = new EndpointFields(engine.id(), this.call.team(), this.call.endpointMillis(), false,
-				(prompt != null) ? prompt.source() : null, place.reservation(), urgency(), this.events.lastId());
+				(prompt != null) ? prompt.source() : null, place.reservation(), NO_URGENCY, this.events.lastId());
 		boolean resumable = this.call.route().resumable();
 		Duration silence = Duration.ofMillis(Math.max(1, this.call.leftMillis()));
 		try (HttpResponse response = this.services.client().send(this.call, engine, fields, POOLED_IDLE, silence)) {
--- a/server/src/main/java/org/banyanstile/server/router/RouterCall.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterCall.java
@@ -20,6 +20,12 @@
  */
 final class RouterCall {
 
+	/**
+	 * Part of a route's time limit below which a caller's deadline is that of a later
+	 * attempt. First attempts leave at least four fifths of it.
+	 */
+	private static final double RETURNING_PART = 0.8;
+
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
 	/**
@@ -117,6 +123,16 @@
 		return Math.max(0, limitMillis() - ageMillis());
 	}
 
+	/**
+	 * Returns whether the caller has used up so much of its time that this is a later
+	 * attempt, whose objective has passed.
+	 * @return whether it is
+	 */
+	boolean isReturning() {
+		long deadline = this.fields.deadlineMillis();
+		return deadline >= 0 && deadline < RETURNING_PART * this.route.timeoutMillis();
+	}
+
 	long limitMillis() {
 		long limit = this.route.timeoutMillis();
 		return (this.fields.deadlineMillis() >= 0) ? Math.min(limit, this.fields.deadlineMillis()) : limit;
