Try to bind an address again that an earlier process still holds

A start that finds an address in use ends the process, and so does SIGHUP before its handler is set.

--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -142,14 +142,6 @@
 		return addresses.isEmpty() ? List.of(membership.self().callerAddress()) : addresses;
 	}
 
-	/**
-	 * Logs that the settings file was read again.
-	 * @param outcome what followed
-	 */
-	public void reloaded(String outcome) {
-		this.log.lifecycle("reload", "outcome", outcome);
-	}
-
 	/**
 	 * Shuts down: leaves the directory at once, serves callers who kept its older answer
 	 * for some time, and finishes running requests.
--- a/server/src/main/java/org/banyanstile/server/router/RouterServer.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServer.java
@@ -1,6 +1,7 @@
 package org.banyanstile.server.router;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -13,6 +14,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -64,6 +66,13 @@
 	 */
 	private static final long WATCH_MILLIS = 50;
 
+	/**
+	 * How long binding is tried, some times what a process takes to end.
+	 */
+	private static final long BIND_NANOS = 5_000_000_000L;
+
+	private static final long BIND_PAUSE_NANOS = 100_000_000;
+
 	private static final double SOON_SECONDS = 0.3;
 
 	private static final Duration DIRECTORY_LIFE = Duration.ofSeconds(2);
@@ -105,7 +114,33 @@
 		this.leaving = leaving;
 	}
 
+	/**
+	 * Binds all addresses. An earlier process of this VM may hold them for a moment
+	 * longer.
+	 * @param addresses addresses to listen at
+	 * @param metrics source of the metrics
+	 */
 	void start(RouterAddresses addresses, Supplier<String> metrics) {
+		long end = System.nanoTime() + BIND_NANOS;
+		while (this.server == null) {
+			Undertow built = build(addresses, metrics);
+			try {
+				built.start();
+				this.server = built;
+			}
+			catch (RuntimeException ex) {
+				built.stop();
+				if (!(ex.getCause() instanceof BindException) || System.nanoTime() > end) {
+					throw ex;
+				}
+				this.services.log().problem("an address is still in use, binding is tried again", ex);
+				LockSupport.parkNanos(BIND_PAUSE_NANOS);
+			}
+		}
+		every(Duration.ofMillis(WATCH_MILLIS), this::checkCalls);
+	}
+
+	private Undertow build(RouterAddresses addresses, Supplier<String> metrics) {
 		Undertow.Builder builder = Undertow.builder()
 			.setWorkerThreads(MAX_CALLS)
 			.setIoThreads(1)
@@ -124,11 +159,7 @@
 		if (addresses.metrics() != null) {
 			listen(builder, addresses.metrics(), (exchange) -> text(exchange, metrics.get()));
 		}
-		Undertow built = builder.build();
-		built.start();
-		this.server = built;
-		var unused = this.watch.scheduleWithFixedDelay(this::checkCalls, WATCH_MILLIS, WATCH_MILLIS,
-				TimeUnit.MILLISECONDS);
+		return builder.build();
 	}
 
 	/**
