Pass no success back that lacks the endpoint's seal

Cause: found by reading the change again: the seal was decoded but not looked at, so a success without it would have gone to a caller, for whom it does not count.

Change: such an answer has an unknown outcome and its connection is closed.

--- a/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
+++ b/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
@@ -19,6 +19,10 @@
 
 	private static final int MISDIRECTED = 421;
 
+	private static final int HUNDRED = 100;
+
+	private static final int SUCCESS_CLASS = 2;
+
 	private static final int MAX_REFUSAL_BYTES = 64 * 1024;
 
 	private final HttpClient client;
@@ -52,7 +56,7 @@
 		try {
 			HttpResponse response = this.client
 				.send(request.withTimeout(timeout).withConnectTimeout(connect).withMaxIdle(maxIdle), call.handle());
-			return checked(call, endpoint, response);
+			return checked(call, endpoint, response, fields.prefillOnly());
 		}
 		catch (ConnectFailedException ex) {
 			if (!call.isOver()) {
@@ -68,7 +72,7 @@
 		}
 	}
 
-	private HttpResponse checked(RouterCall call, RegisteredEndpoint endpoint, HttpResponse response)
+	private HttpResponse checked(RouterCall call, RegisteredEndpoint endpoint, HttpResponse response, boolean ownUse)
 			throws NotRunException, UnknownOutcomeException {
 		AnswerFields answer = this.protocol.answerFields(response.status(), response::header);
 		if (response.status() == MISDIRECTED) {
@@ -90,6 +94,11 @@
 			drain(response);
 			throw NotRunException.rejected("refused by " + endpoint.id() + " with " + response.status());
 		}
+		if (!ownUse && !answer.sealed() && response.status() / HUNDRED == SUCCESS_CLASS) {
+			response.discard();
+			response.close();
+			throw new UnknownOutcomeException(endpoint.id() + " sent a success without its seal");
+		}
 		return response;
 	}
 
--- a/server/src/main/java/org/banyanstile/server/router/RouterServer.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServer.java
@@ -77,8 +77,6 @@
 
 	private static final Duration DIRECTORY_LIFE = Duration.ofSeconds(2);
 
-	private static final String BEARER = "Bearer ";
-
 	private final RouterServices services;
 
 	private final TeamQuotas quotas;
--- a/server/src/main/java/org/banyanstile/server/view/FleetView.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetView.java
@@ -171,9 +171,9 @@
 	}
 
 	/**
-	 * Returns how much longer an endpoint is cold.
+	 * Returns whether an endpoint is still cold.
 	 * @param endpoint id of the endpoint
-	 * @return whether it is cold now
+	 * @return whether it is
 	 */
 	public synchronized boolean isCold(String endpoint) {
 		Long until = this.coldUntil.get(endpoint);
