Wait for the accept thread before the address of a VM counts as free

ServerSocket.close returns while another thread is still inside accept, and the kernel keeps the listening socket until that call has returned.

Ruled out: a connection that took the port as its own local port, and one that connected to itself.

Change: VmServer.close waits for its accept thread, at most 5 s.

--- a/server/src/main/java/org/banyanstile/server/vm/VmServer.java
+++ b/server/src/main/java/org/banyanstile/server/vm/VmServer.java
@@ -34,6 +34,12 @@
 
 	private static final int BACKLOG = 128;
 
+	/**
+	 * An accept that was interrupted returns within milliseconds; the rest is for a
+	 * machine under load.
+	 */
+	private static final long ACCEPTOR_END_MILLIS = 5000;
+
 	private final ServerSocket socket;
 
 	private final FleetKeyHandshake handshake;
@@ -48,6 +54,8 @@
 
 	private final Semaphore permits;
 
+	private final Thread acceptor;
+
 	private final Set<FrameConnection> open = ConcurrentHashMap.newKeySet();
 
 	private final Map<FrameConnection, Hello> authenticated = new ConcurrentHashMap<>();
@@ -61,6 +69,7 @@
 		this.counters = counters;
 		this.workers = workers;
 		this.permits = new Semaphore(maxConnections);
+		this.acceptor = VmThreads.create("vm-accept", this::accept);
 	}
 
 	static VmServer bind(VmIdentity identity, MessageCodec codec, MessageHandlers handlers, VmCounters counters,
@@ -76,7 +85,7 @@
 			throw ex;
 		}
 		VmServer server = new VmServer(socket, identity, codec, handlers, counters, workers, maxConnections);
-		VmThreads.start("vm-accept", server::accept);
+		server.acceptor.start();
 		return server;
 	}
 
@@ -189,6 +198,17 @@
 			// The socket is unusable either way.
 		}
 		this.open.forEach(FrameConnection::close);
+		awaitAcceptor();
+	}
+
+	// The kernel keeps the address bound until the blocked accept has returned.
+	private void awaitAcceptor() {
+		try {
+			this.acceptor.join(ACCEPTOR_END_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 }
--- a/server/src/test/java/org/banyanstile/server/vm/VmPeersTests.java
+++ b/server/src/test/java/org/banyanstile/server/vm/VmPeersTests.java
@@ -135,6 +135,18 @@
 		assertThat(grant(b, "vm-a"), equalTo(new GrantReply(50, 2000, 0, 0, 1)));
 	}
 
+	@Test
+	void addressIsFreeAsSoonAsTheVmHasClosed() throws Exception {
+		String address = freeAddress();
+		for (int round = 0; round < 300; round++) {
+			VmPeers peers = start("vm-a", address, KEY);
+			try (Socket socket = new Socket()) {
+				socket.connect(Addresses.parse(address));
+			}
+			peers.close();
+		}
+	}
+
 	@Test
 	void malformedFramesCloseOnlyTheirConnection() throws Exception {
 		String address = freeAddress();
