Read responses to their end when the endpoint closes its connection after them

Cause: a response whose head says "Connection: close" was treated as broken as soon as the reader had to wait for more of it, because Undertow's ClientConnection.isOpen() is false from that head on. The caller's stream broke off, and the connection to the endpoint stayed open, since abort() skipped connections that are not open; the endpoint went on to the end. Endpoints that leave send this head with every answer, others now and then.

Ruled out: a cancel by the watch and a reused connection, both of which would have ended the run at the engine.

Change: HttpConnection keeps whether this side has closed it. Reads ask that, reuse still asks Undertow, and abort closes the socket always. The unused counter of connects is gone.

Before: two new tests of HttpClientTests failed with ConnectionBrokenException.

--- a/io/src/main/java/org/banyanstile/io/http/CallHandle.java
+++ b/io/src/main/java/org/banyanstile/io/http/CallHandle.java
@@ -3,7 +3,6 @@
 import java.nio.channels.ClosedChannelException;
 import java.util.concurrent.CompletableFuture;
 
-import io.undertow.client.ClientConnection;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -14,13 +13,13 @@
  */
 public final class CallHandle {
 
-	private @Nullable ClientConnection connection;
+	private @Nullable HttpConnection connection;
 
 	private @Nullable CompletableFuture<?> pending;
 
 	private boolean cancelled;
 
-	synchronized boolean begin(ClientConnection next) {
+	synchronized boolean begin(HttpConnection next) {
 		this.connection = next;
 		this.pending = null;
 		return !this.cancelled;
@@ -58,7 +57,7 @@
 	 * Closes the connection of the running call and fails all later calls.
 	 */
 	public void cancel() {
-		ClientConnection running;
+		HttpConnection running;
 		CompletableFuture<?> waiting;
 		synchronized (this) {
 			this.cancelled = true;
@@ -67,7 +66,9 @@
 			this.connection = null;
 			this.pending = null;
 		}
-		HttpClient.abort(running);
+		if (running != null) {
+			running.abort();
+		}
 		if (waiting != null) {
 			waiting.completeExceptionally(new ClosedChannelException());
 		}
--- a/io/src/main/java/org/banyanstile/io/http/HttpClient.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpClient.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.LongAdder;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -52,8 +51,6 @@
 
 	private final Map<String, Deque<IdleConnection>> idle = new ConcurrentHashMap<>();
 
-	private final LongAdder connects = new LongAdder();
-
 	private HttpClient(XnioWorker worker) {
 		this.worker = worker;
 	}
@@ -99,7 +96,7 @@
 	 * @throws HttpException if no response head arrived
 	 */
 	public HttpResponse send(HttpRequest request, CallHandle handle) throws HttpException {
-		ClientConnection connection = connection(request);
+		HttpConnection connection = connection(request);
 		boolean done = false;
 		try {
 			if (!handle.begin(connection)) {
@@ -114,18 +111,19 @@
 		}
 		finally {
 			if (!done) {
-				abort(connection);
+				connection.abort();
 			}
 		}
 	}
 
-	private HttpResponse exchange(HttpRequest request, ClientConnection connection, CallHandle handle)
+	private HttpResponse exchange(HttpRequest request, HttpConnection connection, CallHandle handle)
 			throws IOException, HttpException {
 		CompletableFuture<ClientExchange> started = new CompletableFuture<>();
 		CompletableFuture<ClientExchange> answered = new CompletableFuture<>();
 		handle.waitFor(answered);
 		ClientRequest head = head(request);
-		connection.getIoThread().execute(() -> connection.sendRequest(head, new StartCallback(started, answered)));
+		ClientConnection undertow = connection.undertow();
+		undertow.getIoThread().execute(() -> undertow.sendRequest(head, new StartCallback(started, answered)));
 		ClientExchange exchange = await(started, request);
 		writeBody(request, exchange.getRequestChannel());
 		await(answered, request);
@@ -185,19 +183,19 @@
 		}
 	}
 
-	private ClientConnection connection(HttpRequest request) throws ConnectFailedException {
-		ClientConnection pooled = pooled(request);
+	private HttpConnection connection(HttpRequest request) throws ConnectFailedException {
+		HttpConnection pooled = pooled(request);
 		return (pooled != null) ? pooled : connect(request.address(), request.connectTimeout());
 	}
 
-	private @Nullable ClientConnection pooled(HttpRequest request) {
+	private @Nullable HttpConnection pooled(HttpRequest request) {
 		Deque<IdleConnection> connections = this.idle.get(key(request));
 		if (connections == null || request.maxIdle().isZero()) {
 			return null;
 		}
 		long now = System.nanoTime();
 		IdleConnection newest = connections.pollFirst();
-		while (newest != null && !newest.connection().isOpen()) {
+		while (newest != null && !newest.connection().isReusable()) {
 			newest = connections.pollFirst();
 		}
 		if (newest == null) {
@@ -214,8 +212,7 @@
 		return request.pool() + '@' + request.address();
 	}
 
-	private ClientConnection connect(String address, Duration timeout) throws ConnectFailedException {
-		this.connects.increment();
+	private HttpConnection connect(String address, Duration timeout) throws ConnectFailedException {
 		IoFuture<ClientConnection> future = UndertowClient.getInstance()
 			.connect(URI.create("http://" + address), this.worker, this.buffers, OptionMap.EMPTY);
 		if (future.await(timeout.toMillis(), TimeUnit.MILLISECONDS) != IoFuture.Status.DONE) {
@@ -226,50 +223,22 @@
 			throw new ConnectFailedException("no connection to " + address, failure(future));
 		}
 		try {
-			return future.get();
+			return new HttpConnection(future.get());
 		}
 		catch (IOException ex) {
 			throw new ConnectFailedException("no connection to " + address, ex);
 		}
 	}
 
-	/**
-	 * Closes the socket of a connection at once. The client's own close only ends the
-	 * request that is being written and waits for the rest of the response, so a server
-	 * would go on with a request that nobody waits for.
-	 * @param connection the connection, or {@code null} for none
-	 */
-	static void abort(@Nullable ClientConnection connection) {
-		if (connection == null || !connection.isOpen()) {
-			return;
-		}
-		connection.getIoThread().execute(() -> {
-			try {
-				IoUtils.safeClose(connection.performUpgrade());
-			}
-			catch (IOException ex) {
-				IoUtils.safeClose(connection);
-			}
-		});
-	}
-
-	/**
-	 * Returns the number of connections that were opened or tried.
-	 * @return the number
-	 */
-	public long connects() {
-		return this.connects.sum();
-	}
-
 	private static @Nullable IOException failure(IoFuture<ClientConnection> future) {
 		return (future.getStatus() == IoFuture.Status.FAILED) ? future.getException() : null;
 	}
 
-	void release(HttpRequest request, ClientConnection connection, boolean reusable) {
+	void release(HttpRequest request, HttpConnection connection, boolean reusable) {
 		Deque<IdleConnection> connections = this.idle.computeIfAbsent(key(request),
 				(key) -> new ConcurrentLinkedDeque<>());
-		if (!reusable || !connection.isOpen() || connections.size() >= MAX_IDLE_PER_PEER) {
-			abort(connection);
+		if (!reusable || !connection.isReusable() || connections.size() >= MAX_IDLE_PER_PEER) {
+			connection.abort();
 			return;
 		}
 		connections.addFirst(new IdleConnection(connection, System.nanoTime()));
@@ -284,7 +253,7 @@
 		for (Deque<IdleConnection> connections : this.idle.values()) {
 			IdleConnection last = connections.peekLast();
 			while (last != null && last.since() < oldest && connections.removeLastOccurrence(last)) {
-				IoUtils.safeClose(last.connection());
+				last.connection().abort();
 				last = connections.peekLast();
 			}
 		}
@@ -295,8 +264,7 @@
 	 */
 	@Override
 	public void close() {
-		this.idle.values()
-			.forEach((connections) -> connections.forEach((pooled) -> IoUtils.safeClose(pooled.connection())));
+		this.idle.values().forEach((connections) -> connections.forEach((pooled) -> pooled.connection().abort()));
 		this.worker.shutdownNow();
 	}
 
@@ -351,7 +319,7 @@
 	 * @param since {@link System#nanoTime()} at the end of its last use
 	 * @author banyanstile contributors
 	 */
-	private record IdleConnection(ClientConnection connection, long since) {
+	private record IdleConnection(HttpConnection connection, long since) {
 
 	}
 
--- a/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderValues;
 import org.jspecify.annotations.Nullable;
@@ -41,7 +40,7 @@
 
 	private final String address;
 
-	private final ClientConnection connection;
+	private final HttpConnection connection;
 
 	private final ClientResponse response;
 
@@ -57,7 +56,7 @@
 
 	private boolean closed;
 
-	HttpResponse(HttpClient client, HttpRequest request, ClientConnection connection, ClientResponse response,
+	HttpResponse(HttpClient client, HttpRequest request, HttpConnection connection, ClientResponse response,
 			StreamSourceChannel channel) {
 		this.client = client;
 		this.request = request;
@@ -228,7 +227,7 @@
 						this.address + " sent nothing for " + this.timeout.toMillis() + " ms", null);
 			}
 			// A close by another thread does not wake this one.
-			if (!this.connection.isOpen()) {
+			if (this.connection.isAborted()) {
 				throw new ClosedChannelException();
 			}
 			this.channel.awaitReadable(Math.min(left, CLOSE_CHECK_NANOS), TimeUnit.NANOSECONDS);
--- a/io/src/test/java/org/banyanstile/io/http/HttpClientTests.java
+++ b/io/src/test/java/org/banyanstile/io/http/HttpClientTests.java
@@ -1,18 +1,23 @@
 package org.banyanstile.io.http;
 
+import java.io.IOException;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import io.undertow.Undertow;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.handlers.BlockingHandler;
+import io.undertow.util.Headers;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -113,6 +118,56 @@
 		}
 	}
 
+	@Test
+	void readsOnWhenThePeerWillCloseTheConnection() throws Exception {
+		String address = serve((exchange) -> {
+			exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+			OutputStream out = exchange.getOutputStream();
+			out.write("one\n".getBytes(StandardCharsets.UTF_8));
+			out.flush();
+			this.released.await();
+			out.write("two\n".getBytes(StandardCharsets.UTF_8));
+		});
+		try (HttpResponse response = this.client.send(HttpRequest.get(address, "/"))) {
+			assertThat(response.line(100), is("one"));
+			CompletableFuture.delayedExecutor(300, TimeUnit.MILLISECONDS).execute(this.released::countDown);
+			assertThat(response.line(100), is("two"));
+			assertThat(response.line(100), is(nullValue()));
+		}
+	}
+
+	@Test
+	void closingAResponseEarlyEndsItsConnectionAlsoWhenThePeerWillCloseIt() throws Exception {
+		try (ServerSocket listener = new ServerSocket(0)) {
+			listener.setSoTimeout(5000);
+			CompletableFuture<Integer> end = CompletableFuture.supplyAsync(() -> {
+				try (Socket accepted = listener.accept()) {
+					accepted.setSoTimeout(2000);
+					accepted.getOutputStream()
+						.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 10\r\n\r\none\n"
+							.getBytes(StandardCharsets.UTF_8));
+					return awaitEnd(accepted);
+				}
+				catch (IOException ex) {
+					throw new UncheckedIOException(ex);
+				}
+			});
+			try (HttpResponse response = this.client
+				.send(HttpRequest.get("127.0.0.1:" + listener.getLocalPort(), "/"))) {
+				assertThat(response.line(100), is("one"));
+			}
+			assertThat(end.get(), is(-1));
+		}
+	}
+
+	private static int awaitEnd(Socket socket) throws IOException {
+		int read = 0;
+		while (read >= 0) {
+			read = socket.getInputStream().read(new byte[1024]);
+		}
+		return read;
+	}
+
 	/**
 	 * Guards against a call that is reported as broken although it was answered: the
 	 * request channel is detached by the I/O thread while the caller flushes it.
