Take no request at the end of a shutdown that would be cut off

Cause: a VM that was told to stop took every request for 4.5 s and closed all connections after 7.1 s of its 8 s. A generation that came after 3 s and still ran then broke off for its caller, who could have gone elsewhere.

Change: Departure decides what is taken: everything for 2.8 s, when callers have asked the directory again, then until 4.5 s only requests whose own time limit ends before the VM does. Others are refused at once, with a time to return and Connection: close.

--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -37,24 +37,13 @@
  */
 public final class Router implements AutoCloseable {
 
-	/**
-	 * Time for which a leaving VM still takes requests of callers that kept an older
-	 * directory answer.
-	 */
-	private static final Duration LINGER = Duration.ofMillis(4500);
-
-	/**
-	 * Part of the shutdown time that is left for ending the process.
-	 */
-	private static final Duration EXIT_RESERVE = Duration.ofMillis(900);
-
 	/**
 	 * Idle time after which connections to endpoints are closed. Endpoints accept few
 	 * connections from all VMs together.
 	 */
 	private static final Duration MAX_IDLE = Duration.ofSeconds(2);
 
-	private final RouterSettings settings;
+	private final Departure departure;
 
 	private final DecisionLog log;
 
@@ -68,18 +57,15 @@
 
 	private final HttpClient client;
 
-	private final State state;
-
-	private Router(RouterSettings settings, DecisionLog log, FleetReader reader, GossipNode gossip, RouterServer server,
-			RoleKeeper keeper, HttpClient client, State state) {
-		this.settings = settings;
+	private Router(Departure departure, DecisionLog log, FleetReader reader, GossipNode gossip, RouterServer server,
+			RoleKeeper keeper, HttpClient client) {
+		this.departure = departure;
 		this.log = log;
 		this.reader = reader;
 		this.gossip = gossip;
 		this.server = server;
 		this.keeper = keeper;
 		this.client = client;
-		this.state = state;
 	}
 
 	/**
@@ -103,13 +89,14 @@
 		EndpointLoads loads = new EndpointLoads();
 		EndpointHealth health = new EndpointHealth();
 		TeamQuotas quotas = new TeamQuotas(ticker, settings.limitTolerance());
-		State state = new State(view, loads, quotas, ticker);
+		Departure departure = Departure.within(settings.shutdown(), ticker);
+		State state = new State(view, loads, quotas, departure, ticker);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 		RouterServices services = new RouterServices(settings, view, platform.requests(), platform.engines(), loads,
 				health, EndpointPicker.create(loads, health, new Random()),
 				new EndpointClient(platform.client(), platform.requests(), health), membership::size, log, registry);
 		RouterServer server = new RouterServer(services, quotas, platform.directory(),
-				() -> addresses(membership, state, ticker), () -> state.leaving);
+				() -> addresses(membership, departure, ticker), departure);
 		server.start(addresses, registry::scrape);
 		GossipNode gossip = GossipNode.start(peerAddress, membership, view, state, ticker, log);
 		gossip.addSeeds(seeds);
@@ -117,10 +104,10 @@
 		reader.start(settings.vm(), ownPeerAddress, gossip::addSeeds);
 		server.every(Duration.ofSeconds(1), () -> platform.client().closeIdle(MAX_IDLE));
 		RoleKeeper keeper = new RoleKeeper(settings.vm(), view, platform.source(), platform.engines(), loads,
-				() -> membership.rank(ticker.nanos()) == 0 && !state.leaving, log);
+				() -> membership.rank(ticker.nanos()) == 0 && !departure.hasBegun(), log);
 		keeper.start();
 		log.lifecycle("started", "vm", settings.vm(), "callers", text(addresses.callers()));
-		return new Router(settings, log, reader, gossip, server, keeper, platform.client(), state);
+		return new Router(departure, log, reader, gossip, server, keeper, platform.client());
 	}
 
 	private static String text(InetSocketAddress address) {
@@ -129,9 +116,9 @@
 
 	// Names the living VMs that take requests, and this VM if there is none, since an
 	// empty answer helps no caller.
-	private static List<String> addresses(Membership membership, State state, Ticker ticker) {
+	private static List<String> addresses(Membership membership, Departure departure, Ticker ticker) {
 		List<String> addresses = new ArrayList<>();
-		if (!state.leaving) {
+		if (!departure.hasBegun()) {
 			addresses.add(membership.self().callerAddress());
 		}
 		for (GossipMember member : membership.alivePeers(ticker.nanos())) {
@@ -148,21 +135,13 @@
 	 */
 	@Override
 	public void close() {
-		long began = System.nanoTime();
-		this.state.leaving = true;
+		this.departure.begin();
 		this.gossip.announce();
 		this.log.lifecycle("stopping", "running", this.server.running());
-		long end = this.settings.shutdown().minus(EXIT_RESERVE).toNanos();
-		long linger = Math.min(LINGER.toNanos(), end);
 		boolean interrupted = false;
-		while (!interrupted && System.nanoTime() - began < end
-				&& (System.nanoTime() - began < linger || this.server.running() > 0)) {
-			if (System.nanoTime() - began >= linger) {
-				this.server.refuseNew();
-			}
+		while (!interrupted && !this.departure.isOver(this.server.running())) {
 			interrupted = !pause();
 		}
-		this.server.refuseNew();
 		this.log.lifecycle("stopped", "running", this.server.running());
 		this.keeper.close();
 		this.reader.close();
@@ -211,20 +190,21 @@
 
 		private final TeamQuotas quotas;
 
-		private final Ticker ticker;
+		private final Departure departure;
 
-		private volatile boolean leaving;
+		private final Ticker ticker;
 
-		private State(FleetView view, EndpointLoads loads, TeamQuotas quotas, Ticker ticker) {
+		private State(FleetView view, EndpointLoads loads, TeamQuotas quotas, Departure departure, Ticker ticker) {
 			this.view = view;
 			this.loads = loads;
 			this.quotas = quotas;
+			this.departure = departure;
 			this.ticker = ticker;
 		}
 
 		@Override
 		public MemberState memberState() {
-			if (this.leaving) {
+			if (this.departure.hasBegun()) {
 				return MemberState.LEAVING;
 			}
 			Catalog catalog = this.view.snapshot().catalog();
--- a/server/src/main/java/org/banyanstile/server/router/RouterServer.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServer.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import io.undertow.Undertow;
@@ -85,7 +84,7 @@
 
 	private final Supplier<List<String>> members;
 
-	private final BooleanSupplier leaving;
+	private final Departure departure;
 
 	private final Semaphore permits = new Semaphore(MAX_CALLS);
 
@@ -99,17 +98,15 @@
 		return thread;
 	});
 
-	private volatile boolean refusing;
-
 	private @Nullable Undertow server;
 
 	RouterServer(RouterServices services, TeamQuotas quotas, DirectoryProtocol directory,
-			Supplier<List<String>> members, BooleanSupplier leaving) {
+			Supplier<List<String>> members, Departure departure) {
 		this.services = services;
 		this.quotas = quotas;
 		this.directory = directory;
 		this.members = members;
-		this.leaving = leaving;
+		this.departure = departure;
 	}
 
 	/**
@@ -187,7 +184,7 @@
 
 	private void readiness(HttpServerExchange exchange) {
 		boolean ready = this.directory.isReadiness(exchange.getRequestPath())
-				&& this.services.view().snapshot().catalog() != null && !this.leaving.getAsBoolean();
+				&& this.services.view().snapshot().catalog() != null && !this.departure.hasBegun();
 		exchange.setStatusCode(ready ? 200 : 503);
 		exchange.endExchange();
 	}
@@ -212,13 +209,6 @@
 		return this.running.get();
 	}
 
-	/**
-	 * Refuses new requests from now on; running ones go on.
-	 */
-	void refuseNew() {
-		this.refusing = true;
-	}
-
 	private void handle(HttpServerExchange exchange) {
 		long arrived = System.nanoTime();
 		if (isAmbiguous(exchange)) {
@@ -259,10 +249,6 @@
 	}
 
 	private void accept(HttpServerExchange exchange, byte[] body, long arrived) {
-		if (this.refusing) {
-			refuseEarly(exchange, RefusalException.notRun("this VM shuts down", SOON_SECONDS));
-			return;
-		}
 		if (!this.permits.tryAcquire()) {
 			this.services.metrics().refused("no free thread");
 			refuseEarly(exchange, RefusalException.notRun("this VM is overloaded", SOON_SECONDS));
@@ -314,7 +300,7 @@
 			return;
 		}
 		try {
-			if (this.leaving.getAsBoolean()) {
+			if (this.departure.hasBegun()) {
 				response.closeAfterwards();
 			}
 			response.refuse(refusal);
@@ -341,7 +327,10 @@
 			throw RefusalException.notRun("the service of the route is not configured", SOON_SECONDS);
 		}
 		RouterCall call = new RouterCall(exchange, connection, fields, route, name, team, body, arrived, response);
-		if (this.leaving.getAsBoolean()) {
+		if (!this.departure.mayTake(call.leftMillis())) {
+			throw RefusalException.notRun("this VM shuts down", SOON_SECONDS);
+		}
+		if (this.departure.hasBegun()) {
 			call.response().closeAfterwards();
 		}
 		long tokens = takeQuota(team, fields);
