Use connections to endpoints on their I/O thread only

Cause: request threads wrote and read Undertow's client connections while their I/O thread closed them and freed their buffers. One run of RouterTests ended in a NullPointerException in a request thread that wrote to a connection which was being reset, and the caller's connection broke without an answer.

Change: RequestWriter sends the body and ResponseReader receives on the I/O thread. The reader passes bytes on through a bounded buffer and stops while it is full. A connection is used again only if its request was sent whole, since an endpoint may answer early.

Before: resetWhileARequestIsWrittenIsReportedAsABrokenConnection failed with the NullPointerException in both of two runs. After: it passes. RouterTests 28, HttpClientTests 10, ChatTests 16, ServiceTests 8, OperatorServerTests 13 pass.

--- a/io/src/main/java/org/banyanstile/io/http/HttpClient.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpClient.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.net.URI;
-import java.nio.ByteBuffer;
-import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
 import java.util.Deque;
 import java.util.Map;
@@ -11,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
@@ -18,6 +17,7 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
@@ -30,8 +30,6 @@
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
-import org.xnio.channels.Channels;
-import org.xnio.channels.StreamSinkChannel;
 
 /**
  * Blocking HTTP client with a connection pool. Safe for use by several threads; must not
@@ -118,16 +116,18 @@
 
 	private HttpResponse exchange(HttpRequest request, HttpConnection connection, CallHandle handle)
 			throws IOException, HttpException {
-		CompletableFuture<ClientExchange> started = new CompletableFuture<>();
-		CompletableFuture<ClientExchange> answered = new CompletableFuture<>();
+		CompletableFuture<ResponseStart> answered = new CompletableFuture<>();
 		handle.waitFor(answered);
 		ClientRequest head = head(request);
-		ClientConnection undertow = connection.undertow();
-		undertow.getIoThread().execute(() -> undertow.sendRequest(head, new StartCallback(started, answered)));
-		ClientExchange exchange = await(started, request);
-		writeBody(request, exchange.getRequestChannel());
-		await(answered, request);
-		return new HttpResponse(this, request, connection, exchange.getResponse(), exchange.getResponseChannel());
+		RequestWriter writer = new RequestWriter(request.body(), answered::completeExceptionally);
+		try {
+			connection.execute(() -> connection.send(head, new StartCallback(connection, writer, answered)));
+		}
+		catch (RejectedExecutionException ex) {
+			throw new ConnectFailedException("the client is closed", ex);
+		}
+		ResponseStart start = await(answered, request);
+		return new HttpResponse(this, request, connection, writer, start.head(), start.reader());
 	}
 
 	private static ClientRequest head(HttpRequest request) {
@@ -143,29 +143,7 @@
 		return head;
 	}
 
-	private static void writeBody(HttpRequest request, StreamSinkChannel channel) throws IOException {
-		if (request.body().length > 0) {
-			long millis = request.timeout().toMillis();
-			ByteBuffer body = ByteBuffer.wrap(request.body());
-			while (body.hasRemaining()) {
-				if (Channels.writeBlocking(channel, body, millis, TimeUnit.MILLISECONDS) == 0) {
-					throw new IOException("request body was not accepted in " + millis + " ms");
-				}
-			}
-		}
-		channel.shutdownWrites();
-		try {
-			if (!channel.flush()) {
-				Channels.flushBlocking(channel);
-			}
-		}
-		catch (ClosedChannelException ex) {
-			// The client detaches the channel when the request is sent, which can happen
-			// between the two calls. A connection that broke fails the response instead.
-		}
-	}
-
-	private static ClientExchange await(CompletableFuture<ClientExchange> future, HttpRequest request)
+	private static ResponseStart await(CompletableFuture<ResponseStart> future, HttpRequest request)
 			throws HttpException {
 		try {
 			return future.get(request.timeout().toMillis(), TimeUnit.MILLISECONDS);
@@ -269,40 +247,57 @@
 	}
 
 	/**
-	 * Completes the two futures of an exchange.
+	 * Head of a response and the reader of its body.
 	 *
-	 * @param started completed when the request channel can be written
+	 * @param head the head
+	 * @param reader reader of the body
+	 * @author banyanstile contributors
+	 */
+	private record ResponseStart(ClientResponse head, ResponseReader reader) {
+
+	}
+
+	/**
+	 * Writes the body when the head of a request was taken.
+	 *
+	 * @param connection the connection
+	 * @param writer writes the body
 	 * @param answered completed when the response head has arrived
 	 * @author banyanstile contributors
 	 */
-	private record StartCallback(CompletableFuture<ClientExchange> started,
-			CompletableFuture<ClientExchange> answered) implements ClientCallback<ClientExchange> {
+	private record StartCallback(HttpConnection connection, RequestWriter writer,
+			CompletableFuture<ResponseStart> answered) implements ClientCallback<ClientExchange> {
 
 		@Override
 		public void completed(ClientExchange exchange) {
-			exchange.setResponseListener(new ResponseCallback(this.answered));
-			this.started.complete(exchange);
+			exchange.setResponseListener(new ResponseCallback(this.connection, this.answered));
+			this.writer.start(exchange.getRequestChannel());
 		}
 
 		@Override
 		public void failed(IOException ex) {
-			this.started.completeExceptionally(ex);
+			this.answered.completeExceptionally(ex);
 		}
 
 	}
 
 	/**
-	 * Completes the future of a response head.
+	 * Begins to read the body when the head of a response has arrived.
 	 *
+	 * @param connection the connection
 	 * @param answered completed when the response head has arrived
 	 * @author banyanstile contributors
 	 */
-	private record ResponseCallback(
-			CompletableFuture<ClientExchange> answered) implements ClientCallback<ClientExchange> {
+	private record ResponseCallback(HttpConnection connection,
+			CompletableFuture<ResponseStart> answered) implements ClientCallback<ClientExchange> {
 
 		@Override
 		public void completed(ClientExchange exchange) {
-			this.answered.complete(exchange);
+			ResponseReader reader = new ResponseReader(this.connection, exchange.getResponseChannel());
+			// A body that breaks off at once fails this callback too, which must not hide
+			// the head.
+			this.answered.complete(new ResponseStart(exchange.getResponse(), reader));
+			reader.start();
 		}
 
 		@Override
--- a/io/src/main/java/org/banyanstile/io/http/HttpConnection.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpConnection.java
@@ -1,8 +1,12 @@
 package org.banyanstile.io.http;
 
 import java.io.IOException;
+import java.util.concurrent.RejectedExecutionException;
 
+import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
 import org.xnio.IoUtils;
 
 /**
@@ -22,8 +26,22 @@
 		this.connection = connection;
 	}
 
-	ClientConnection undertow() {
-		return this.connection;
+	/**
+	 * Runs a task on the I/O thread of the connection. Undertow's connection and its
+	 * channels may only be used there.
+	 * @param task the task
+	 */
+	void execute(Runnable task) {
+		this.connection.getIoThread().execute(task);
+	}
+
+	/**
+	 * Sends the head of a request. Called on the I/O thread.
+	 * @param head the head
+	 * @param callback called with the exchange
+	 */
+	void send(ClientRequest head, ClientCallback<ClientExchange> callback) {
+		this.connection.sendRequest(head, callback);
 	}
 
 	boolean isReusable() {
@@ -41,15 +59,23 @@
 	 */
 	void abort() {
 		this.aborted = true;
-		this.connection.getIoThread().execute(() -> {
-			try {
-				IoUtils.safeClose(this.connection.performUpgrade());
-			}
-			catch (IOException ex) {
-				// It was upgraded by an earlier abort.
-				IoUtils.safeClose(this.connection);
-			}
-		});
+		try {
+			execute(this::close);
+		}
+		catch (RejectedExecutionException ex) {
+			// The client was closed, and its I/O threads closed their sockets at their
+			// end.
+		}
+	}
+
+	private void close() {
+		try {
+			IoUtils.safeClose(this.connection.performUpgrade());
+		}
+		catch (IOException ex) {
+			// It was upgraded by an earlier abort.
+			IoUtils.safeClose(this.connection);
+		}
 	}
 
 }
--- a/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
@@ -3,18 +3,15 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderValues;
 import org.jspecify.annotations.Nullable;
-import org.xnio.channels.StreamSourceChannel;
 
 /**
  * An HTTP response whose body is read by the calling thread. Not safe for use by several
@@ -29,11 +26,6 @@
 
 	private static final int BUFFER_BYTES = 8192;
 
-	/**
-	 * Interval at which a waiting read checks whether the connection was closed.
-	 */
-	private static final long CLOSE_CHECK_NANOS = 100_000_000;
-
 	private final HttpClient client;
 
 	private final HttpRequest request;
@@ -42,9 +34,11 @@
 
 	private final HttpConnection connection;
 
+	private final RequestWriter writer;
+
 	private final ClientResponse response;
 
-	private final StreamSourceChannel channel;
+	private final ResponseReader reader;
 
 	private final ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES).flip();
 
@@ -56,14 +50,15 @@
 
 	private boolean closed;
 
-	HttpResponse(HttpClient client, HttpRequest request, HttpConnection connection, ClientResponse response,
-			StreamSourceChannel channel) {
+	HttpResponse(HttpClient client, HttpRequest request, HttpConnection connection, RequestWriter writer,
+			ClientResponse response, ResponseReader reader) {
 		this.client = client;
 		this.request = request;
 		this.address = request.address();
 		this.connection = connection;
+		this.writer = writer;
 		this.response = response;
-		this.channel = channel;
+		this.reader = reader;
 		this.timeout = request.timeout();
 	}
 
@@ -190,7 +185,8 @@
 			return;
 		}
 		this.closed = true;
-		this.client.release(this.request, this.connection, this.ended && this.reusable);
+		boolean clean = this.ended && this.reusable && this.writer.isWritten();
+		this.client.release(this.request, this.connection, clean);
 	}
 
 	private boolean fill() throws HttpException {
@@ -202,36 +198,24 @@
 		}
 		try {
 			this.buffer.clear();
-			int n = read();
-			this.buffer.flip();
-			this.ended = n < 0;
-			return n > 0;
+			this.ended = read() < 0;
+			return !this.ended;
 		}
 		catch (IOException ex) {
-			this.buffer.clear().flip();
 			throw new ConnectionBrokenException("connection to " + this.address + " broke", ex);
 		}
+		finally {
+			this.buffer.flip();
+		}
 	}
 
 	private int read() throws IOException, ResponseTimeoutException {
-		long deadline = System.nanoTime() + this.timeout.toNanos();
-		while (true) {
-			int n = this.channel.read(this.buffer);
-			if (n != 0) {
-				return n;
-			}
-			long left = deadline - System.nanoTime();
-			if (left <= 0) {
-				this.buffer.clear().flip();
-				throw new ResponseTimeoutException(
-						this.address + " sent nothing for " + this.timeout.toMillis() + " ms", null);
-			}
-			// A close by another thread does not wake this one.
-			if (this.connection.isAborted()) {
-				throw new ClosedChannelException();
-			}
-			this.channel.awaitReadable(Math.min(left, CLOSE_CHECK_NANOS), TimeUnit.NANOSECONDS);
+		int n = this.reader.read(this.buffer, this.timeout.toMillis());
+		if (n == 0) {
+			throw new ResponseTimeoutException(this.address + " sent nothing for " + this.timeout.toMillis() + " ms",
+					null);
 		}
+		return n;
 	}
 
 }
--- a/io/src/test/java/org/banyanstile/io/http/HttpClientTests.java
+++ b/io/src/test/java/org/banyanstile/io/http/HttpClientTests.java
@@ -143,6 +143,8 @@
 			CompletableFuture<Integer> end = CompletableFuture.supplyAsync(() -> {
 				try (Socket accepted = listener.accept()) {
 					accepted.setSoTimeout(2000);
+					// A response that comes before its request has begun is an error.
+					accepted.getInputStream().read(new byte[1024]);
 					accepted.getOutputStream()
 						.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 10\r\n\r\none\n"
 							.getBytes(StandardCharsets.UTF_8));
@@ -160,6 +162,88 @@
 		}
 	}
 
+	/**
+	 * Guards against a race of the caller's thread with the I/O thread, which frees the
+	 * buffers of a connection when the peer resets it.
+	 */
+	@Test
+	void resetWhileARequestIsWrittenIsReportedAsABrokenConnection() throws Exception {
+		String body = "x".repeat(40_000);
+		try (ServerSocket listener = new ServerSocket(0)) {
+			Thread peer = new Thread(() -> resetAll(listener));
+			peer.start();
+			String address = "127.0.0.1:" + listener.getLocalPort();
+			List<CompletableFuture<Integer>> callers = new ArrayList<>();
+			for (int i = 0; i < 8; i++) {
+				callers.add(CompletableFuture.supplyAsync(() -> {
+					int broken = 0;
+					for (int n = 0; n < 300; n++) {
+						try (HttpResponse response = this.client.send(HttpRequest.postJson(address, "/", body))) {
+							broken -= response.status();
+						}
+						catch (HttpException ex) {
+							broken++;
+						}
+					}
+					return broken;
+				}));
+			}
+			for (CompletableFuture<Integer> caller : callers) {
+				assertThat(caller.get(), is(300));
+			}
+		}
+	}
+
+	@Test
+	void bodyThatBreaksOffStillHasItsHead() throws Exception {
+		byte[] part = ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\none\n\r\n9\r\ntw")
+			.getBytes(StandardCharsets.UTF_8);
+		try (ServerSocket listener = new ServerSocket(0)) {
+			Thread peer = new Thread(() -> breakOffAll(listener, part));
+			peer.start();
+			HttpRequest request = HttpRequest.postJson("127.0.0.1:" + listener.getLocalPort(), "/", "body");
+			for (int i = 0; i < 300; i++) {
+				try (HttpResponse response = this.client.send(request)) {
+					assertThat(response.line(100), is("one"));
+					assertThrows(ConnectionBrokenException.class, () -> response.line(100));
+				}
+			}
+		}
+	}
+
+	private static void breakOffAll(ServerSocket listener, byte[] part) {
+		while (true) {
+			try (Socket accepted = listener.accept()) {
+				int read = 0;
+				byte[] bytes = new byte[4096];
+				while (!new String(bytes, 0, read, StandardCharsets.UTF_8).endsWith("body")) {
+					read += accepted.getInputStream().read(bytes, read, bytes.length - read);
+				}
+				accepted.getOutputStream().write(part);
+			}
+			catch (IOException ex) {
+				if (listener.isClosed()) {
+					return;
+				}
+			}
+		}
+	}
+
+	private static void resetAll(ServerSocket listener) {
+		int n = 0;
+		while (true) {
+			try (Socket accepted = listener.accept()) {
+				accepted.setSoLinger(true, 0);
+				accepted.getInputStream().readNBytes(n++ % 3 * 100);
+			}
+			catch (IOException ex) {
+				if (listener.isClosed()) {
+					return;
+				}
+			}
+		}
+	}
+
 	private static int awaitEnd(Socket socket) throws IOException {
 		int read = 0;
 		while (read >= 0) {
