Keep the attempts of a call in one class, and read prompts near their decode engine

CallAttempts holds what PlainRun and GenerationRun each kept: runs, arrivals, the retry permit, the truthful refusal and the log line.

Prefill engines were chosen by their queue alone.

Change: leastTokens prefers an engine in the data centre of the decode engine while its queue is at most some 2,000 tokens longer. Two tests of EndpointPicker, which ask for the new argument, and the 28 of RouterTests pass.

--- a/core/src/main/java/org/banyanstile/core/placement/EndpointPicker.java
+++ b/core/src/main/java/org/banyanstile/core/placement/EndpointPicker.java
@@ -31,6 +31,17 @@
 	 */
 	static final double TYPICAL_MILLIS = 90;
 
+	/**
+	 * Noise of the queues of prefill engines, about a third of a prompt.
+	 */
+	static final double PREFILL_NOISE_TOKENS = 1000;
+
+	/**
+	 * Queue in tokens that is accepted to keep a KV cache within a data centre, about
+	 * half a prompt. Reading them takes some 60 ms of an objective of 500 ms or more.
+	 */
+	static final double FAR_TOKENS = 2000;
+
 	private final EndpointLoads loads;
 
 	private final EndpointHealth health;
@@ -87,21 +98,28 @@
 	}
 
 	/**
-	 * Chooses the prefill engine with the fewest tokens to read.
+	 * Chooses the prefill engine with the fewest tokens to read. One in the data centre
+	 * of the decode engine is preferred while the queues differ little, since the KV
+	 * cache of a prompt is by far the largest transfer of a request.
 	 * @param engines the prefill engines
 	 * @param tried ids that were tried before, which are left out
+	 * @param dataCentre data centre of the decode engine
 	 * @param now the current time in nanoseconds
 	 * @return the engine, or {@code null} if none is usable
 	 */
-	public @Nullable RegisteredEndpoint leastTokens(List<RegisteredEndpoint> engines, Set<String> tried, long now) {
-		List<RegisteredEndpoint> usable = new ArrayList<>();
+	public @Nullable RegisteredEndpoint leastTokens(List<RegisteredEndpoint> engines, Set<String> tried,
+			String dataCentre, long now) {
+		RegisteredEndpoint best = null;
+		double lowest = Double.MAX_VALUE;
 		for (RegisteredEndpoint engine : engines) {
-			if (!tried.contains(engine.id()) && this.health.isUsable(engine.id(), now)) {
-				usable.add(engine);
+			double score = tokens(engine) + this.random.nextDouble() * PREFILL_NOISE_TOKENS
+					+ (engine.dataCentre().equals(dataCentre) ? 0 : FAR_TOKENS);
+			if (score < lowest && !tried.contains(engine.id()) && this.health.isUsable(engine.id(), now)) {
+				lowest = score;
+				best = engine;
 			}
 		}
-		List<RegisteredEndpoint> ordered = ordered(usable, 1000);
-		return ordered.isEmpty() ? null : ordered.get(0);
+		return best;
 	}
 
 	/**
@@ -114,24 +132,19 @@
 	 */
 	public List<RegisteredEndpoint> mostFreeMemory(List<RegisteredEndpoint> engines, long memoryTokens, long needed,
 			long now) {
-		List<RegisteredEndpoint> usable = new ArrayList<>();
+		Map<RegisteredEndpoint, Double> scores = new HashMap<>();
 		for (RegisteredEndpoint engine : engines) {
 			if (this.health.isUsable(engine.id(), now) && needed <= memoryTokens) {
-				usable.add(engine);
+				scores.put(engine, tokens(engine) + this.random.nextDouble() * needed);
 			}
 		}
-		return ordered(usable, needed);
+		List<RegisteredEndpoint> sorted = new ArrayList<>(scores.keySet());
+		sorted.sort(Comparator.comparingDouble(scores::get));
+		return sorted;
 	}
 
-	private List<RegisteredEndpoint> ordered(List<RegisteredEndpoint> engines, long unit) {
-		Map<String, Double> scores = new HashMap<>();
-		for (RegisteredEndpoint engine : engines) {
-			EndpointLoads.Load load = this.loads.total(engine.id());
-			scores.put(engine.id(), load.tokens() + this.random.nextDouble() * unit);
-		}
-		List<RegisteredEndpoint> sorted = new ArrayList<>(engines);
-		sorted.sort(Comparator.comparingDouble((RegisteredEndpoint engine) -> scores.get(engine.id())));
-		return sorted;
+	private long tokens(RegisteredEndpoint engine) {
+		return this.loads.total(engine.id()).tokens();
 	}
 
 }
--- a/core/src/test/java/org/banyanstile/core/placement/EndpointPickerTests.java
+++ b/core/src/test/java/org/banyanstile/core/placement/EndpointPickerTests.java
@@ -31,7 +31,11 @@
 	private final RegisteredEndpoint two = endpoint("two");
 
 	private static RegisteredEndpoint endpoint(String id) {
-		return new RegisteredEndpoint(id, "desk", "10.0.0.1:80", "dc1", EndpointPhase.PLAIN, true, 6, 0);
+		return endpoint(id, "dc1");
+	}
+
+	private static RegisteredEndpoint endpoint(String id, String dataCentre) {
+		return new RegisteredEndpoint(id, "desk", "10.0.0.1:80", dataCentre, EndpointPhase.PLAIN, true, 6, 0);
 	}
 
 	private int chosen(RegisteredEndpoint wanted) {
@@ -91,7 +95,24 @@
 
 	@Test
 	void prefillEngineThatWasTriedIsLeftOut() {
-		assertThat(this.picker.leastTokens(List.of(this.one), Set.of("one"), 0), is(nullValue()));
+		assertThat(this.picker.leastTokens(List.of(this.one), Set.of("one"), "dc1", 0), is(nullValue()));
+	}
+
+	@Test
+	void prefillEngineInTheDataCentreOfTheDecodeEngineIsPreferred() {
+		RegisteredEndpoint far = endpoint("far", "dc2");
+		for (int i = 0; i < 100; i++) {
+			assertThat(this.picker.leastTokens(List.of(far, this.one), Set.of(), "dc1", 0), is(this.one));
+		}
+	}
+
+	@Test
+	void prefillEngineElsewhereIsChosenWhenTheNearOneHasAQueue() {
+		RegisteredEndpoint far = endpoint("far", "dc2");
+		this.loads.report("vm2", List.of(new EndpointLoads.Load("one", 1, 4000)), 0);
+		for (int i = 0; i < 100; i++) {
+			assertThat(this.picker.leastTokens(List.of(far, this.one), Set.of(), "dc1", 0), is(far));
+		}
 	}
 
 }
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -23,6 +23,12 @@
  */
 final class GenerationRun {
 
+	/**
+	 * Time after which a caller may return whose generation has not run although it had a
+	 * place, so engines fail or leave just now.
+	 */
+	private static final double RETRY_SECONDS = 1;
+
 	private static final int SUCCESS = 200;
 
 	private static final int SERVER_ERROR = 500;
@@ -75,14 +81,13 @@
 
 	private final EventSplitter events = new EventSplitter();
 
-	private int runs;
-
-	private int arrivals;
+	private final CallAttempts attempts;
 
 	private GenerationRun(RouterServices services, RouterCall call, EngineTraits traits) {
 		this.services = services;
 		this.call = call;
 		this.traits = traits;
+		this.attempts = new CallAttempts(services, call);
 	}
 
 	static GenerationRun create(RouterServices services, RouterCall call, EngineTraits traits) {
@@ -102,7 +107,7 @@
 		String reason = "no engine took the request in time";
 		while (!this.call.isOver()) {
 			DecodePlace place = new DecodePlaces(this.services, this.call, this.traits, neededTokens()).await();
-			if (this.arrivals > 0 && !this.services.tryRepeat(this.call.service())) {
+			if (!this.attempts.tryNext()) {
 				releaseReservation(place);
 				reason = "the retry budget is used up";
 				break;
@@ -113,21 +118,18 @@
 					return;
 				}
 				reason = "the stream broke off";
-				if (!mayRunAgain()) {
+				if (!this.attempts.mayRunAgain()) {
 					break;
 				}
 			}
 			catch (NotRunException ex) {
-				reason = ex.getMessage();
-				this.arrivals += ex.hasArrived() ? 1 : 0;
-				log(place.engine(), "not run", reason);
+				reason = String.valueOf(ex.getMessage());
+				this.attempts.notRun(place.engine(), ex);
 			}
 			catch (UnknownOutcomeException ex) {
-				reason = ex.getMessage();
-				this.arrivals++;
-				this.runs++;
-				log(place.engine(), "unknown", reason);
-				if (!mayRunAgain()) {
+				reason = String.valueOf(ex.getMessage());
+				this.attempts.unknown(place.engine(), ex);
+				if (!this.attempts.mayRunAgain()) {
 					break;
 				}
 			}
@@ -139,10 +141,6 @@
 		fail(reason);
 	}
 
-	private boolean mayRunAgain() {
-		return this.call.route().isRepeatable() && this.runs < this.call.route().maxAttempts() && !this.call.isOver();
-	}
-
 	private void fail(String reason) throws RefusalException {
 		if (this.call.response().isStarted()) {
 			this.services.log()
@@ -151,10 +149,7 @@
 			this.call.response().abort();
 			return;
 		}
-		if (this.runs == 0) {
-			throw RefusalException.notRun(reason, 1);
-		}
-		throw this.call.isOver() ? RefusalException.timedOut() : RefusalException.unknown(reason);
+		throw this.attempts.refusal(reason, RETRY_SECONDS);
 	}
 
 	// Runs the request at a decode engine.
@@ -191,12 +186,13 @@
 	// @return the prompt, or {@code null} if the decode engine has to read it
 	private @Nullable PrefilledPrompt prefill(DecodePlace place) {
 		Set<String> tried = new HashSet<>();
-		boolean repeat = this.runs > 0 || this.arrivals > 0;
+		boolean repeat = this.attempts.hasArrived();
 		for (int i = 0; i < PREFILL_TRIES && !this.call.isOver(); i++) {
 			List<RegisteredEndpoint> engines = this.services.view()
 				.snapshot()
 				.usable(this.call.service(), EndpointPhase.PREFILL);
-			RegisteredEndpoint engine = this.services.picker().leastTokens(engines, tried, System.nanoTime());
+			RegisteredEndpoint engine = this.services.picker()
+				.leastTokens(engines, tried, place.engine().dataCentre(), System.nanoTime());
 			if (engine == null || this.services.loads().total(engine.id()).tokens() > MAX_BACKLOG_TOKENS) {
 				return null;
 			}
@@ -213,11 +209,11 @@
 			catch (NotRunException ex) {
 				repeat |= ex.hasArrived();
 				this.services.health().refused(engine.id(), System.nanoTime());
-				log(engine, "prefill not run", ex.getMessage());
+				this.attempts.log(engine, "prefill not run", ex.getMessage());
 			}
 			catch (UnknownOutcomeException | HttpException ex) {
 				repeat = true;
-				log(engine, "prefill lost", String.valueOf(ex.getMessage()));
+				this.attempts.log(engine, "prefill lost", String.valueOf(ex.getMessage()));
 			}
 		}
 		return null;
@@ -239,7 +235,7 @@
 			if (handle == null) {
 				throw new UnknownOutcomeException(engine.id() + " answered a prefill with " + response.status());
 			}
-			log(engine, "prefilled", "in " + millis + " ms");
+			this.attempts.log(engine, "prefilled", "in " + millis + " ms");
 			return new PrefilledPrompt(engine, handle, this.services.engines().cacheSource(engine, handle));
 		}
 		finally {
@@ -256,8 +252,7 @@
 		boolean resumable = this.call.route().resumable();
 		Duration silence = Duration.ofMillis(Math.max(1, this.call.leftMillis()));
 		try (HttpResponse response = this.services.client().send(this.call, engine, fields, POOLED_IDLE, silence)) {
-			this.runs++;
-			this.arrivals++;
+			this.attempts.ran();
 			if (response.status() != SUCCESS) {
 				return failure(engine, response);
 			}
@@ -268,7 +263,7 @@
 			relay(response);
 			this.services.health().answered(engine.id(), 0, false, System.nanoTime());
 			this.call.response().end();
-			log(engine, "complete", this.events.events() + " events");
+			this.attempts.log(engine, "complete", this.events.events() + " events");
 			return true;
 		}
 		catch (HttpException ex) {
@@ -276,7 +271,7 @@
 			if (!this.call.isOver()) {
 				this.services.health().unreachable(engine.id(), System.nanoTime());
 			}
-			log(engine, "broken", String.valueOf(ex.getMessage()));
+			this.attempts.log(engine, "broken", String.valueOf(ex.getMessage()));
 			return false;
 		}
 		finally {
@@ -307,8 +302,8 @@
 	private boolean failure(RegisteredEndpoint engine, HttpResponse response) throws HttpException, IOException {
 		byte[] body = response.bytes(MAX_HANDLE_BYTES * 16);
 		this.services.health().answered(engine.id(), 0, response.status() >= SERVER_ERROR, System.nanoTime());
-		log(engine, Integer.toString(response.status()), "");
-		if (this.call.response().isStarted() || (response.status() >= SERVER_ERROR && mayRunAgain())) {
+		this.attempts.log(engine, Integer.toString(response.status()), "");
+		if (this.call.response().isStarted() || (response.status() >= SERVER_ERROR && this.attempts.mayRunAgain())) {
 			return false;
 		}
 		this.call.response().send(response.status(), response.headers(), body, this.services.protocol());
@@ -333,11 +328,4 @@
 		}
 	}
 
-	private void log(RegisteredEndpoint engine, String outcome, String reason) {
-		this.services.metrics().outcome(outcome);
-		this.services.log()
-			.request("attempt", this.call.id(), "endpoint", engine.id(), "service", this.call.service(), "run",
-					this.runs, "outcome", outcome, "reason", reason, "ageMillis", this.call.ageMillis());
-	}
-
 }
--- a/server/src/main/java/org/banyanstile/server/router/PlainRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/PlainRun.java
@@ -44,15 +44,14 @@
 
 	private final RouterCall call;
 
-	private final Set<String> tried = new HashSet<>();
-
-	private int runs;
+	private final CallAttempts attempts;
 
-	private int arrivals;
+	private final Set<String> tried = new HashSet<>();
 
 	private PlainRun(RouterServices services, RouterCall call) {
 		this.services = services;
 		this.call = call;
+		this.attempts = new CallAttempts(services, call);
 	}
 
 	static PlainRun create(RouterServices services, RouterCall call) {
@@ -68,7 +67,7 @@
 				reason = "no endpoint of the service is available";
 				break;
 			}
-			if (this.arrivals > 0 && !this.services.tryRepeat(this.call.service())) {
+			if (!this.attempts.tryNext()) {
 				reason = "the retry budget is used up";
 				break;
 			}
@@ -81,17 +80,13 @@
 				failure = answer;
 			}
 			catch (NotRunException ex) {
-				reason = ex.getMessage();
-				this.arrivals += ex.hasArrived() ? 1 : 0;
-				log(endpoint, "not run", reason);
-				continue;
+				reason = String.valueOf(ex.getMessage());
+				this.attempts.notRun(endpoint, ex);
 			}
 			catch (UnknownOutcomeException ex) {
-				reason = ex.getMessage();
-				this.arrivals++;
-				this.runs++;
-				log(endpoint, "unknown", reason);
-				if (!mayRunAgain()) {
+				reason = String.valueOf(ex.getMessage());
+				this.attempts.unknown(endpoint, ex);
+				if (!this.attempts.mayRunAgain()) {
 					break;
 				}
 			}
@@ -104,11 +99,8 @@
 			send(failure);
 			return;
 		}
-		if (this.runs == 0) {
-			throw RefusalException.notRun(this.call.isOver() ? "no endpoint took the request in time" : reason,
-					RETRY_SECONDS);
-		}
-		throw this.call.isOver() ? RefusalException.timedOut() : RefusalException.unknown(reason);
+		throw this.attempts.refusal(this.call.isOver() ? "no endpoint took the request in time" : reason,
+				RETRY_SECONDS);
 	}
 
 	private void send(WholeAnswer answer) throws IOException {
@@ -116,11 +108,7 @@
 	}
 
 	private boolean isWorthRepeating(WholeAnswer answer) {
-		return answer.status() >= SERVER_ERROR && mayRunAgain();
-	}
-
-	private boolean mayRunAgain() {
-		return this.call.route().isRepeatable() && this.runs < this.call.route().maxAttempts() && !this.call.isOver();
+		return answer.status() >= SERVER_ERROR && this.attempts.mayRunAgain();
 	}
 
 	private @Nullable RegisteredEndpoint pick() {
@@ -128,7 +116,7 @@
 				this.services.view().snapshot().usable(this.call.service(), EndpointPhase.PLAIN));
 		while (!candidates.isEmpty()) {
 			RegisteredEndpoint endpoint = this.services.picker().fastest(candidates, this.tried, System.nanoTime());
-			if (endpoint == null || (this.tried.contains(endpoint.id()) && this.runs == 0)) {
+			if (endpoint == null || (this.tried.contains(endpoint.id()) && !this.attempts.hasRun())) {
 				return null;
 			}
 			if (this.services.mayTakeCold(endpoint)) {
@@ -149,11 +137,10 @@
 			.send(this.call, endpoint, fields, repeatable ? REPEATABLE_IDLE : ONCE_ONLY_IDLE, attemptTimeout())) {
 			response.setReadTimeout(attemptTimeout());
 			WholeAnswer answer = new WholeAnswer(response.status(), response.headers(), response.bytes(MAX_BODY_BYTES));
-			this.runs++;
-			this.arrivals++;
+			this.attempts.ran();
 			long millis = (System.nanoTime() - began) / 1_000_000;
 			this.services.health().answered(endpoint.id(), millis, answer.status() >= SERVER_ERROR, System.nanoTime());
-			log(endpoint, Integer.toString(answer.status()), "");
+			this.attempts.log(endpoint, Integer.toString(answer.status()), "");
 			return answer;
 		}
 		catch (HttpException ex) {
@@ -172,15 +159,8 @@
 	// one can still answer within the objective's order of magnitude.
 	private Duration attemptTimeout() {
 		long left = Math.max(1, this.call.leftMillis());
-		boolean another = this.call.route().isRepeatable() && this.runs + 1 < this.call.route().maxAttempts();
-		return Duration.ofMillis(another ? Math.min(left, 2 * this.call.route().objectiveMillis()) : left);
-	}
-
-	private void log(RegisteredEndpoint endpoint, String outcome, String reason) {
-		this.services.metrics().outcome(outcome);
-		this.services.log()
-			.request("attempt", this.call.id(), "endpoint", endpoint.id(), "service", this.call.service(), "run",
-					this.runs, "outcome", outcome, "reason", reason, "ageMillis", this.call.ageMillis());
+		return Duration
+			.ofMillis(this.attempts.hasReserve() ? Math.min(left, 2 * this.call.route().objectiveMillis()) : left);
 	}
 
 	/**
