Send no work to engines that change their part, and keep prompts they refused

Other VMs than the one that gave the order did not know of it.

Ruled out: draining, and a full engine; the order line precedes the first refusal by 0.2 s, and the refusals end with the new part.

Change: PhaseChanges, passed on between VMs with the time that is left, keeps such engines out of the choice. A new owner of the turn knows the orders of the old one.

Also: RouterServer is split into listeners and RequestIntake; refusals are counted by status, since reasons name endpoints and would make a counter each; gauges of usable endpoints and a counter of log lines left out; crashes, always empty, are gone from the datagrams.

--- /dev/null
+++ b/core/src/test/java/org/banyanstile/core/placement/PhaseChangesTests.java
@@ -0,0 +1,75 @@
+package org.banyanstile.core.placement;
+
+import java.util.List;
+import java.util.Random;
+
+import org.banyanstile.core.catalog.EndpointPhase;
+import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests for {@link PhaseChanges}.
+ *
+ * @author banyanstile contributors
+ */
+class PhaseChangesTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private final PhaseChanges changes = new PhaseChanges();
+
+	private static RegisteredEndpoint engine(EndpointPhase phase) {
+		return new RegisteredEndpoint("e1", "llm", "10.0.0.1:80", "dc1", phase, true, 64, 0);
+	}
+
+	@Test
+	void engineTakesNoWorkUntilItsRegisteredPartIsTheNewOne() {
+		this.changes.begin("e1", EndpointPhase.PREFILL, 10 * SECOND);
+		assertThat(this.changes.isChanging(engine(EndpointPhase.DECODE), 6 * SECOND), is(true));
+		assertThat(this.changes.isChanging(engine(EndpointPhase.PREFILL), 6 * SECOND), is(false));
+	}
+
+	@Test
+	void orderThatIsNeverCarriedOutCountsAsLost() {
+		this.changes.begin("e1", EndpointPhase.PREFILL, 10 * SECOND);
+		assertThat(this.changes.isChanging(engine(EndpointPhase.DECODE), 10 * SECOND), is(false));
+		assertThat(this.changes.pending(10 * SECOND), is(empty()));
+	}
+
+	@Test
+	void otherVmsLearnOfAChange() {
+		this.changes.begin("e1", EndpointPhase.PREFILL, 10 * SECOND);
+		PhaseChanges other = new PhaseChanges();
+		other.report(this.changes.pending(4 * SECOND), 100 * SECOND);
+		assertThat(other.isChanging(engine(EndpointPhase.DECODE), 105 * SECOND), is(true));
+		assertThat(other.isChanging(engine(EndpointPhase.DECODE), 106 * SECOND), is(false));
+	}
+
+	/**
+	 * Guards against a change that lives on because each VM learns it again from another
+	 * that learned it later.
+	 */
+	@Test
+	void changeEndsEverywhereAlthoughAllVmsTellEachOther() {
+		for (int seed = 0; seed < 200; seed++) {
+			Random random = new Random(seed);
+			List<PhaseChanges> vms = List.of(new PhaseChanges(), new PhaseChanges(), new PhaseChanges(),
+					new PhaseChanges());
+			vms.get(0).begin("e1", EndpointPhase.PREFILL, 5 * SECOND);
+			long now = 0;
+			while (now < 8 * SECOND) {
+				List<PhaseChanges.Report> told = vms.get(random.nextInt(4)).pending(now);
+				now += random.nextInt(40_000_000);
+				vms.get(random.nextInt(4)).report(told, now);
+			}
+			for (PhaseChanges vm : vms) {
+				assertThat("seed " + seed, vm.isChanging(engine(EndpointPhase.DECODE), now), is(false));
+			}
+		}
+	}
+
+}
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -196,7 +196,7 @@
 			millis.add(this.view.storeMillis(table));
 		}
 		return new GossipState(this.membership.self(), this.membership.alivePeers(this.ticker.nanos()),
-				this.local.loads(), this.local.uses(), this.local.crashes(), versions, millis, answered);
+				this.local.loads(), this.local.uses(), this.local.changes(), versions, millis, answered);
 	}
 
 	private void send(ByteBuffer datagram, SocketAddress target) {
@@ -378,10 +378,10 @@
 		List<GossipUse> uses();
 
 		/**
-		 * Returns digests of requests that crashed endpoints.
-		 * @return the digests
+		 * Returns the engines of which this VM knows that they change their part.
+		 * @return the changes
 		 */
-		List<Long> crashes();
+		List<GossipChange> changes();
 
 		/**
 		 * Learns the state of another VM.
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipState.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipState.java
@@ -9,13 +9,13 @@
  * @param members all VMs that it knows
  * @param loads its work at endpoints
  * @param uses its use of token limits
- * @param crashes digests of requests that crashed endpoints
+ * @param changes engines that change their part
  * @param versions version of each table that it knows completely
  * @param millis the store's time of each of these versions
  * @param answered whether this replies to another state, and needs no reply
  * @author banyanstile contributors
  */
 public record GossipState(GossipMember self, List<GossipMember> members, List<GossipLoad> loads, List<GossipUse> uses,
-		List<Long> crashes, List<Long> versions, List<Long> millis, boolean answered) {
+		List<GossipChange> changes, List<Long> versions, List<Long> millis, boolean answered) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/router/DecisionLog.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecisionLog.java
@@ -38,6 +38,8 @@
 
 	private final Budget problems = new Budget(PROBLEM_LINES);
 
+	private final AtomicLong leftOut = new AtomicLong();
+
 	private DecisionLog() {
 	}
 
@@ -93,6 +95,14 @@
 		}
 	}
 
+	/**
+	 * Returns the number of lines that went beyond their budget.
+	 * @return the number since the start
+	 */
+	public long leftOut() {
+		return this.leftOut.get();
+	}
+
 	private static void write(@Nullable Budget budget, String event, @Nullable String idName, @Nullable String id,
 			@Nullable Object... fields) {
 		StringMapMessage message = new StringMapMessage(fields.length / 2 + 3);
@@ -115,7 +125,7 @@
 	 *
 	 * @author banyanstile contributors
 	 */
-	private static final class Budget {
+	private final class Budget {
 
 		private final int lines;
 
@@ -139,6 +149,7 @@
 				return true;
 			}
 			this.skipped.incrementAndGet();
+			DecisionLog.this.leftOut.incrementAndGet();
 			return false;
 		}
 
--- a/server/src/main/java/org/banyanstile/server/router/DecodePlaces.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodePlaces.java
@@ -116,9 +116,7 @@
 	}
 
 	private @Nullable DecodePlace tryReserve() {
-		List<RegisteredEndpoint> engines = this.services.view()
-			.snapshot()
-			.usable(this.call.service(), EndpointPhase.DECODE);
+		List<RegisteredEndpoint> engines = this.services.engines(this.call.service(), EndpointPhase.DECODE);
 		List<RegisteredEndpoint> ordered = this.services.picker()
 			.mostFreeMemory(engines, this.traits.memoryTokens(), this.tokens, System.nanoTime());
 		int asked = 0;
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -59,6 +59,11 @@
 	 */
 	private static final long SILENCE_MILLIS = 1300;
 
+	/**
+	 * Refusals after which a prompt is read again.
+	 */
+	private static final int MAX_PROMPT_REFUSALS = 2;
+
 	/**
 	 * Ratio of reserved output to the caller's estimate, which is right at the median.
 	 */
@@ -83,6 +88,17 @@
 
 	private final CallAttempts attempts;
 
+	/**
+	 * A prompt that was read and that no decode engine has taken yet.
+	 */
+	private @Nullable PrefilledPrompt prompt;
+
+	/**
+	 * Decode engines that refused the request with this prompt, the second perhaps
+	 * because the prompt is gone.
+	 */
+	private int promptRefusals;
+
 	private GenerationRun(RouterServices services, RouterCall call, EngineTraits traits) {
 		this.services = services;
 		this.call = call;
@@ -104,6 +120,15 @@
 	}
 
 	void serve() throws RefusalException, IOException {
+		try {
+			run();
+		}
+		finally {
+			dropPrompt();
+		}
+	}
+
+	private void run() throws RefusalException, IOException {
 		String reason = "no engine took the request in time";
 		while (!this.call.isOver()) {
 			DecodePlace place = new DecodePlaces(this.services, this.call, this.traits, neededTokens()).await();
@@ -128,6 +153,8 @@
 			}
 			catch (UnknownOutcomeException ex) {
 				reason = String.valueOf(ex.getMessage());
+				// The engine may have taken the prompt.
+				this.promptRefusals = MAX_PROMPT_REFUSALS;
 				this.attempts.unknown(place.engine(), ex);
 				if (!this.attempts.mayRunAgain()) {
 					break;
@@ -156,41 +183,68 @@
 	// @return whether the answer is complete
 	private boolean decode(DecodePlace place)
 			throws NotRunException, UnknownOutcomeException, RefusalException, IOException {
-		PrefilledPrompt prompt = prefill(place);
 		boolean sent = false;
 		try {
+			choosePrompt(place);
 			if (this.call.isOver()) {
 				throw NotRunException.notSent("the time was over, or the caller gone, before the request was sent");
 			}
-			if (!this.services.view().snapshot().isUsable(place.engine())) {
+			if (!this.services.takesWork(place.engine())) {
 				throw NotRunException.notSent("engine " + place.engine().id() + " left before the request was sent");
 			}
 			sent = true;
-			return stream(place, prompt);
+			return stream(place);
 		}
 		catch (NotRunException ex) {
-			this.services.metrics().wastedPrompt(this.call.fields().promptTokens());
+			if (ex.hasArrived()) {
+				// The engine had granted the reservation, so it drains or changes its
+				// part.
+				this.services.health().refused(place.engine().id(), System.nanoTime());
+				this.promptRefusals++;
+			}
 			throw ex;
 		}
 		finally {
 			if (!sent) {
 				releaseReservation(place);
-				if (prompt != null) {
-					releaseHandle(prompt);
-				}
 			}
 		}
 	}
 
+	// Keeps the prompt that an earlier engine refused, or has it read.
+	private void choosePrompt(DecodePlace place) {
+		PrefilledPrompt kept = this.prompt;
+		if (kept != null && this.promptRefusals < MAX_PROMPT_REFUSALS
+				&& kept.isUsable(this.traits.handleMillis(), System.nanoTime())) {
+			return;
+		}
+		dropPrompt();
+		this.prompt = prefill(place);
+		this.promptRefusals = 0;
+	}
+
+	private void dropPrompt() {
+		PrefilledPrompt kept = this.prompt;
+		if (kept == null) {
+			return;
+		}
+		this.prompt = null;
+		this.services.metrics().wastedPrompt(this.call.fields().promptTokens());
+		try {
+			this.services.engines().releaseHandle(kept.engine(), kept.handle());
+		}
+		catch (HttpException ex) {
+			this.services.log().problem("a handle at " + kept.engine().id() + " is left to lapse", ex);
+		}
+	}
+
 	// Has the prompt read by a prefill engine.
 	// @return the prompt, or {@code null} if the decode engine has to read it
 	private @Nullable PrefilledPrompt prefill(DecodePlace place) {
 		Set<String> tried = new HashSet<>();
 		boolean repeat = this.attempts.hasArrived();
 		for (int i = 0; i < PREFILL_TRIES && !this.call.isOver(); i++) {
-			List<RegisteredEndpoint> engines = this.services.view()
-				.snapshot()
-				.usable(this.call.service(), EndpointPhase.PREFILL);
+			List<RegisteredEndpoint> engines = this.services.engines(this.call.service(), EndpointPhase.PREFILL);
 			RegisteredEndpoint engine = this.services.picker()
 				.leastTokens(engines, tried, place.engine().dataCentre(), System.nanoTime());
 			if (engine == null || this.services.loads().total(engine.id()).tokens() > MAX_BACKLOG_TOKENS) {
@@ -236,7 +290,8 @@
 				throw new UnknownOutcomeException(engine.id() + " answered a prefill with " + response.status());
 			}
 			this.attempts.log(engine, "prefilled", "in " + millis + " ms");
-			return new PrefilledPrompt(engine, handle, this.services.engines().cacheSource(engine, handle));
+			return new PrefilledPrompt(engine, handle, this.services.engines().cacheSource(engine, handle),
+					System.nanoTime());
 		}
 		finally {
 			this.call.handle().end();
@@ -244,15 +299,16 @@
 		}
 	}
 
-	private boolean stream(DecodePlace place, @Nullable PrefilledPrompt prompt)
-			throws NotRunException, UnknownOutcomeException, IOException {
+	private boolean stream(DecodePlace place) throws NotRunException, UnknownOutcomeException, IOException {
 		RegisteredEndpoint engine = place.engine();
+		PrefilledPrompt offered = this.prompt;
 		EndpointFields fields = new EndpointFields(engine.id(), this.call.team(), this.call.endpointMillis(), false,
-				(prompt != null) ? prompt.source() : null, place.reservation(), NO_URGENCY, this.events.lastId());
+				(offered != null) ? offered.source() : null, place.reservation(), NO_URGENCY, this.events.lastId());
 		boolean resumable = this.call.route().resumable();
 		Duration silence = Duration.ofMillis(Math.max(1, this.call.leftMillis()));
 		try (HttpResponse response = this.services.client().send(this.call, engine, fields, POOLED_IDLE, silence)) {
 			this.attempts.ran();
+			this.prompt = null;
 			if (response.status() != SUCCESS) {
 				return failure(engine, response);
 			}
@@ -319,13 +375,4 @@
 		}
 	}
 
-	private void releaseHandle(PrefilledPrompt prompt) {
-		try {
-			this.services.engines().releaseHandle(prompt.engine(), prompt.handle());
-		}
-		catch (HttpException ex) {
-			this.services.log().problem("a handle at " + prompt.engine().id() + " is left to lapse", ex);
-		}
-	}
-
 }
--- a/server/src/main/java/org/banyanstile/server/router/RoleKeeper.java
+++ b/server/src/main/java/org/banyanstile/server/router/RoleKeeper.java
@@ -18,6 +18,7 @@
 import org.banyanstile.core.catalog.ServedService;
 import org.banyanstile.core.lease.OrderTurn;
 import org.banyanstile.core.placement.EndpointLoads;
+import org.banyanstile.core.placement.PhaseChanges;
 import org.banyanstile.core.placement.RoleBalance;
 import org.banyanstile.io.http.HttpException;
 import org.banyanstile.server.view.FleetSnapshot;
@@ -57,13 +58,19 @@
 
 	private final EndpointLoads loads;
 
+	private final PhaseChanges changes;
+
 	private final BooleanSupplier isOwner;
 
 	private final DecisionLog log;
 
 	private final OrderTurn turn;
 
-	private final Map<String, Change> changing = new HashMap<>();
+	/**
+	 * Orders that this VM has given, whatever their outcome, so that none is repeated at
+	 * once.
+	 */
+	private final Map<String, Change> given = new HashMap<>();
 
 	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor((body) -> {
 		Thread thread = new Thread(body, "role-keeper");
@@ -76,12 +83,13 @@
 	private long knownSince;
 
 	RoleKeeper(String vm, FleetView view, TableSource store, EngineCalls engines, EndpointLoads loads,
-			BooleanSupplier isOwner, DecisionLog log) {
+			PhaseChanges changes, BooleanSupplier isOwner, DecisionLog log) {
 		this.vm = vm;
 		this.view = view;
 		this.store = store;
 		this.engines = engines;
 		this.loads = loads;
+		this.changes = changes;
 		this.isOwner = isOwner;
 		this.log = log;
 		this.turn = OrderTurn.of(vm);
@@ -126,7 +134,7 @@
 
 	private void expire(long now) {
 		FleetSnapshot snapshot = this.view.snapshot();
-		Iterator<Map.Entry<String, Change>> all = this.changing.entrySet().iterator();
+		Iterator<Map.Entry<String, Change>> all = this.given.entrySet().iterator();
 		while (all.hasNext()) {
 			Map.Entry<String, Change> entry = all.next();
 			RegisteredEndpoint engine = snapshot.all().get(entry.getKey());
@@ -144,7 +152,8 @@
 			.filter((engine) -> engine.phase() != EndpointPhase.PLAIN)
 			.toList();
 		Map<String, EndpointPhase> pending = new HashMap<>();
-		this.changing.forEach((id, change) -> pending.put(id, change.phase()));
+		this.changes.pending(System.nanoTime()).forEach((change) -> pending.put(change.endpoint(), change.phase()));
+		this.given.forEach((id, change) -> pending.put(id, change.phase()));
 		List<RoleBalance.RoleChange> plan = RoleBalance.plan(all, pending, (id) -> this.loads.total(id).tokens());
 		if (plan.isEmpty() || !confirmTurn()) {
 			return;
@@ -184,11 +193,14 @@
 			return;
 		}
 		long until = now + TimeUnit.MILLISECONDS.toNanos(traits.roleChangeMillis()) + ORDER_MARGIN_NANOS;
-		this.changing.put(engine.id(), new Change(change.phase(), until));
+		this.given.put(engine.id(), new Change(change.phase(), until));
 		try {
 			EngineCalls.OrderOutcome outcome = this.engines.changePhase(engine, change.phase(), this.vm, token);
 			this.log.belief("order", "engine", engine.id(), "phase", change.phase(), "fencingToken", token, "outcome",
 					outcome);
+			if (outcome == EngineCalls.OrderOutcome.ACCEPTED) {
+				this.changes.begin(engine.id(), change.phase(), until);
+			}
 			if (outcome == EngineCalls.OrderOutcome.FENCED) {
 				this.turn.lost();
 			}
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -12,11 +12,14 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.banyanstile.core.catalog.Catalog;
+import org.banyanstile.core.catalog.EndpointPhase;
 import org.banyanstile.core.common.Ticker;
 import org.banyanstile.core.placement.EndpointHealth;
 import org.banyanstile.core.placement.EndpointLoads;
 import org.banyanstile.core.placement.EndpointPicker;
+import org.banyanstile.core.placement.PhaseChanges;
 import org.banyanstile.io.http.HttpClient;
+import org.banyanstile.server.gossip.GossipChange;
 import org.banyanstile.server.gossip.GossipLoad;
 import org.banyanstile.server.gossip.GossipMember;
 import org.banyanstile.server.gossip.GossipNode;
@@ -51,18 +54,21 @@
 
 	private final GossipNode gossip;
 
+	private final RequestIntake intake;
+
 	private final RouterServer server;
 
 	private final RoleKeeper keeper;
 
 	private final HttpClient client;
 
-	private Router(Departure departure, DecisionLog log, FleetReader reader, GossipNode gossip, RouterServer server,
-			RoleKeeper keeper, HttpClient client) {
+	private Router(Departure departure, DecisionLog log, FleetReader reader, GossipNode gossip, RequestIntake intake,
+			RouterServer server, RoleKeeper keeper, HttpClient client) {
 		this.departure = departure;
 		this.log = log;
 		this.reader = reader;
 		this.gossip = gossip;
+		this.intake = intake;
 		this.server = server;
 		this.keeper = keeper;
 		this.client = client;
@@ -90,24 +96,29 @@
 		EndpointHealth health = new EndpointHealth();
 		TeamQuotas quotas = new TeamQuotas(ticker, settings.limitTolerance());
 		Departure departure = Departure.within(settings.shutdown(), ticker);
-		State state = new State(view, loads, quotas, departure, ticker);
+		PhaseChanges changes = new PhaseChanges();
+		State state = new State(view, loads, quotas, changes, departure, ticker);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-		RouterServices services = new RouterServices(settings, view, platform.requests(), platform.engines(), loads,
-				health, EndpointPicker.create(loads, health, new Random()),
+		RouterServices services = new RouterServices(settings, view, changes, platform.requests(), platform.engines(),
+				loads, health, EndpointPicker.create(loads, health, new Random()),
 				new EndpointClient(platform.client(), platform.requests(), health), membership::size, log, registry);
-		RouterServer server = new RouterServer(services, quotas, platform.directory(),
+		RequestIntake intake = new RequestIntake(services, quotas, departure);
+		RouterServer server = new RouterServer(services, intake, platform.directory(),
 				() -> addresses(membership, departure, ticker), departure);
 		server.start(addresses, registry::scrape);
 		GossipNode gossip = GossipNode.start(peerAddress, membership, view, state, ticker, log);
 		gossip.addSeeds(seeds);
 		FleetReader reader = FleetReader.create(platform.source(), view, () -> membership.rank(ticker.nanos()), log);
 		reader.start(settings.vm(), ownPeerAddress, gossip::addSeeds);
-		server.every(Duration.ofSeconds(1), () -> platform.client().closeIdle(MAX_IDLE));
-		RoleKeeper keeper = new RoleKeeper(settings.vm(), view, platform.source(), platform.engines(), loads,
+		server.every(Duration.ofSeconds(1), () -> {
+			platform.client().closeIdle(MAX_IDLE);
+			services.metrics().usable(view.snapshot().usable());
+		});
+		RoleKeeper keeper = new RoleKeeper(settings.vm(), view, platform.source(), platform.engines(), loads, changes,
 				() -> membership.rank(ticker.nanos()) == 0 && !departure.hasBegun(), log);
 		keeper.start();
 		log.lifecycle("started", "vm", settings.vm(), "callers", text(addresses.callers()));
-		return new Router(departure, log, reader, gossip, server, keeper, platform.client());
+		return new Router(departure, log, reader, gossip, intake, server, keeper, platform.client());
 	}
 
 	private static String text(InetSocketAddress address) {
@@ -137,12 +148,12 @@
 	public void close() {
 		this.departure.begin();
 		this.gossip.announce();
-		this.log.lifecycle("stopping", "running", this.server.running());
+		this.log.lifecycle("stopping", "running", this.intake.running());
 		boolean interrupted = false;
-		while (!interrupted && !this.departure.isOver(this.server.running())) {
+		while (!interrupted && !this.departure.isOver(this.intake.running())) {
 			interrupted = !pause();
 		}
-		this.log.lifecycle("stopped", "running", this.server.running());
+		this.log.lifecycle("stopped", "running", this.intake.running());
 		this.keeper.close();
 		this.reader.close();
 		this.server.close();
@@ -190,14 +201,18 @@
 
 		private final TeamQuotas quotas;
 
+		private final PhaseChanges changes;
+
 		private final Departure departure;
 
 		private final Ticker ticker;
 
-		private State(FleetView view, EndpointLoads loads, TeamQuotas quotas, Departure departure, Ticker ticker) {
+		private State(FleetView view, EndpointLoads loads, TeamQuotas quotas, PhaseChanges changes, Departure departure,
+				Ticker ticker) {
 			this.view = view;
 			this.loads = loads;
 			this.quotas = quotas;
+			this.changes = changes;
 			this.departure = departure;
 			this.ticker = ticker;
 		}
@@ -229,8 +244,11 @@
 		}
 
 		@Override
-		public List<Long> crashes() {
-			return List.of();
+		public List<GossipChange> changes() {
+			return this.changes.pending(this.ticker.nanos())
+				.stream()
+				.map((change) -> new GossipChange(change.endpoint(), change.phase().ordinal(), change.leftMillis()))
+				.toList();
 		}
 
 		@Override
@@ -241,6 +259,12 @@
 				.toList();
 			this.loads.report(state.self().vm(), reported, this.ticker.nanos());
 			this.quotas.report(state.self(), state.uses());
+			List<PhaseChanges.Report> known = state.changes()
+				.stream()
+				.map((change) -> new PhaseChanges.Report(change.endpoint(), EndpointPhase.values()[change.phase()],
+						change.leftMillis()))
+				.toList();
+			this.changes.report(known, this.ticker.nanos());
 		}
 
 	}
--- a/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
@@ -1,10 +1,19 @@
 package org.banyanstile.server.router;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.MultiGauge;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
+import org.banyanstile.core.catalog.EndpointPhase;
+import org.banyanstile.core.catalog.RegisteredEndpoint;
 
 /**
  * Counters and histograms of the request path.
@@ -15,8 +24,36 @@
 
 	private final MeterRegistry registry;
 
+	private final MultiGauge endpoints;
+
 	RouterMetrics(MeterRegistry registry) {
 		this.registry = registry;
+		this.endpoints = MultiGauge.builder("banyanstile_usable_endpoints").register(registry);
+	}
+
+	/**
+	 * Sets how many endpoints may get new work.
+	 * @param usable the endpoints by service
+	 */
+	void usable(Map<String, List<RegisteredEndpoint>> usable) {
+		List<MultiGauge.Row<?>> rows = new ArrayList<>();
+		usable.forEach((service, endpoints) -> {
+			for (EndpointPhase phase : EndpointPhase.values()) {
+				long count = endpoints.stream().filter((endpoint) -> endpoint.phase() == phase).count();
+				rows.add(MultiGauge.Row.of(Tags.of("service", service, "phase", phase.name().toLowerCase(Locale.ROOT)),
+						count));
+			}
+		});
+		this.endpoints.register(rows, true);
+	}
+
+	/**
+	 * Counts the log lines that went beyond their budget.
+	 * @param log the log
+	 */
+	void watch(DecisionLog log) {
+		FunctionCounter.builder("banyanstile_log_lines_left_out_total", log, DecisionLog::leftOut)
+			.register(this.registry);
 	}
 
 	/**
@@ -45,8 +82,9 @@
 			.record(millis, TimeUnit.MILLISECONDS);
 	}
 
-	void refused(String reason) {
-		this.registry.counter("banyanstile_refusals_total", "reason", reason).increment();
+	// Reasons name endpoints, so they would make a counter each.
+	void refused(int status) {
+		this.registry.counter("banyanstile_refusals_total", "status", Integer.toString(status)).increment();
 	}
 
 	void repeat(boolean allowed) {
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -1,11 +1,13 @@
 package org.banyanstile.server.router;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntSupplier;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import org.banyanstile.core.catalog.EndpointPhase;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.catalog.ServedService;
 import org.banyanstile.core.limit.ColdRate;
@@ -14,6 +16,7 @@
 import org.banyanstile.core.placement.EndpointHealth;
 import org.banyanstile.core.placement.EndpointLoads;
 import org.banyanstile.core.placement.EndpointPicker;
+import org.banyanstile.core.placement.PhaseChanges;
 import org.banyanstile.server.view.FleetView;
 
 /**
@@ -33,6 +36,8 @@
 
 	private final FleetView view;
 
+	private final PhaseChanges changes;
+
 	private final RequestProtocol protocol;
 
 	private final EngineCalls engines;
@@ -57,11 +62,12 @@
 
 	private final Map<String, ColdRate> colds = new HashMap<>();
 
-	RouterServices(RouterSettings settings, FleetView view, RequestProtocol protocol, EngineCalls engines,
-			EndpointLoads loads, EndpointHealth health, EndpointPicker picker, EndpointClient client, IntSupplier vms,
-			DecisionLog log, MeterRegistry registry) {
+	RouterServices(RouterSettings settings, FleetView view, PhaseChanges changes, RequestProtocol protocol,
+			EngineCalls engines, EndpointLoads loads, EndpointHealth health, EndpointPicker picker,
+			EndpointClient client, IntSupplier vms, DecisionLog log, MeterRegistry registry) {
 		this.settings = settings;
 		this.view = view;
+		this.changes = changes;
 		this.protocol = protocol;
 		this.engines = engines;
 		this.loads = loads;
@@ -71,12 +77,37 @@
 		this.vms = vms;
 		this.log = log;
 		this.metrics = new RouterMetrics(registry);
+		this.metrics.watch(log);
 	}
 
 	FleetView view() {
 		return this.view;
 	}
 
+	/**
+	 * Returns the engines that take work of one part.
+	 * @param service name of the service
+	 * @param phase the part
+	 * @return the engines, without those that change their part
+	 */
+	List<RegisteredEndpoint> engines(String service, EndpointPhase phase) {
+		long now = System.nanoTime();
+		return this.view.snapshot()
+			.usable(service, phase)
+			.stream()
+			.filter((engine) -> !this.changes.isChanging(engine, now))
+			.toList();
+	}
+
+	/**
+	 * Returns whether an engine that was chosen before still takes work.
+	 * @param engine the engine
+	 * @return whether it does
+	 */
+	boolean takesWork(RegisteredEndpoint engine) {
+		return this.view.snapshot().isUsable(engine) && !this.changes.isChanging(engine, System.nanoTime());
+	}
+
 	RequestProtocol protocol() {
 		return this.protocol;
 	}
