--- a/server/src/main/java/org/banyanstile/server/router/Departure.java
+++ b/server/src/main/java/org/banyanstile/server/router/Departure.java
@@ -31,7 +31,7 @@
 
 	private static final long NOT_BEGUN = Long.MIN_VALUE;
 
-	private final long lengthNanos;
+	private volatile long lengthNanos;
 
 	private final Ticker ticker;
 
@@ -52,6 +52,10 @@
 		return new Departure(shutdown.minus(EXIT_RESERVE).toNanos(), ticker);
 	}
 
+	void setShutdown(Duration shutdown) {
+		this.lengthNanos = shutdown.minus(EXIT_RESERVE).toNanos();
+	}
+
 	void begin() {
 		this.began = this.ticker.nanos();
 	}
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -46,6 +46,10 @@
 	 */
 	private static final Duration MAX_IDLE = Duration.ofSeconds(2);
 
+	private final RouterServices services;
+
+	private final TeamQuotas quotas;
+
 	private final Departure departure;
 
 	private final DecisionLog log;
@@ -62,8 +66,10 @@
 
 	private final HttpClient client;
 
-	private Router(Departure departure, DecisionLog log, FleetReader reader, GossipNode gossip, RequestIntake intake,
-			RouterServer server, RoleKeeper keeper, HttpClient client) {
+	private Router(RouterServices services, TeamQuotas quotas, Departure departure, DecisionLog log, FleetReader reader,
+			GossipNode gossip, RequestIntake intake, RouterServer server, RoleKeeper keeper, HttpClient client) {
+		this.services = services;
+		this.quotas = quotas;
 		this.departure = departure;
 		this.log = log;
 		this.reader = reader;
@@ -118,7 +124,7 @@
 				() -> membership.rank(ticker.nanos()) == 0 && !departure.hasBegun(), log);
 		keeper.start();
 		log.lifecycle("started", "vm", settings.vm(), "callers", text(addresses.callers()));
-		return new Router(departure, log, reader, gossip, intake, server, keeper, platform.client());
+		return new Router(services, quotas, departure, log, reader, gossip, intake, server, keeper, platform.client());
 	}
 
 	private static String text(InetSocketAddress address) {
@@ -140,6 +146,16 @@
 		return addresses.isEmpty() ? List.of(membership.self().callerAddress()) : addresses;
 	}
 
+	/**
+	 * Applies other figures while the daemon runs.
+	 * @param settings the figures
+	 */
+	public void apply(RouterSettings settings) {
+		this.services.apply(settings);
+		this.quotas.setTolerance(settings.limitTolerance());
+		this.departure.setShutdown(settings.shutdown());
+	}
+
 	/**
 	 * Shuts down: leaves the directory at once, serves callers who kept its older answer
 	 * for some time, and finishes running requests.
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -32,7 +32,7 @@
 	 */
 	private static final int LINE_WIDTH = 2;
 
-	private final RouterSettings settings;
+	private volatile RouterSettings settings;
 
 	private final FleetView view;
 
@@ -144,6 +144,20 @@
 		return this.lines.computeIfAbsent(service, (name) -> AdmissionLine.create(LINE_WIDTH));
 	}
 
+	/**
+	 * Applies other figures. A changed window of the retry budget begins anew, as after a
+	 * restart.
+	 * @param next the figures
+	 */
+	void apply(RouterSettings next) {
+		synchronized (this.retries) {
+			if (!next.retryWindow().equals(this.settings.retryWindow())) {
+				this.retries.clear();
+			}
+			this.settings = next;
+		}
+	}
+
 	void countRequest(String service) {
 		synchronized (this.retries) {
 			retries(service).request(System.nanoTime());
--- a/server/src/main/java/org/banyanstile/server/router/TeamQuotas.java
+++ b/server/src/main/java/org/banyanstile/server/router/TeamQuotas.java
@@ -31,13 +31,21 @@
 
 	private final Ticker ticker;
 
-	private final double extraTokens;
+	private double extraTokens;
 
 	TeamQuotas(Ticker ticker, double tolerance) {
 		this.ticker = ticker;
 		this.extraTokens = USED_TOLERANCE * tolerance;
 	}
 
+	/**
+	 * Changes the tolerated excess.
+	 * @param tolerance tokens by which a team may exceed its limit for a moment
+	 */
+	synchronized void setTolerance(double tolerance) {
+		this.extraTokens = USED_TOLERANCE * tolerance;
+	}
+
 	/**
 	 * Takes tokens of a team.
 	 * @param team the team
