Send the list of members in each fourth round only

Change: in fleets of up to nine VMs, which all hear each other in each round, the list goes out every second. Replies and larger fleets send it always. GossipChange is encoded as an array like the other parts.

--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -45,6 +45,13 @@
 	 */
 	private static final int FANOUT = 8;
 
+	/**
+	 * Rounds from one list of all members to the next in a fleet whose VMs all hear each
+	 * other directly. The list is half of a datagram, and two of them pass before a VM
+	 * that only some can reach counts as dead.
+	 */
+	private static final int MEMBER_ROUNDS = 4;
+
 	private static final int MAX_DATAGRAM = 60_000;
 
 	private static final int MAX_ROW_BYTES = 1 << 20;
@@ -53,6 +60,8 @@
 
 	private final DatagramChannel channel;
 
+	private volatile long rounds;
+
 	private final Membership membership;
 
 	private final FleetView view;
@@ -128,6 +137,7 @@
 			.registerNested(GossipMember.class)
 			.registerNested(GossipLoad.class)
 			.registerNested(GossipUse.class)
+			.registerNested(GossipChange.class)
 			.registerNested(GossipRow.class)
 			.register(GossipRows.class)
 			.register(GossipState.class);
@@ -157,6 +167,7 @@
 			this.membership.beat(this.local.memberState());
 			List<String> targets = new ArrayList<>(allAddresses());
 			Collections.shuffle(targets, this.random);
+			this.rounds++;
 			send(targets.subList(0, Math.min(FANOUT, targets.size())));
 		}
 		catch (RuntimeException ex) {
@@ -195,8 +206,10 @@
 			versions.add(this.view.version(table));
 			millis.add(this.view.storeMillis(table));
 		}
-		return new GossipState(this.membership.self(), this.membership.alivePeers(this.ticker.nanos()),
-				this.local.loads(), this.local.uses(), this.local.changes(), versions, millis, answered);
+		List<GossipMember> peers = this.membership.alivePeers(this.ticker.nanos());
+		boolean listed = answered || peers.size() > FANOUT || this.rounds % MEMBER_ROUNDS == 0;
+		return new GossipState(this.membership.self(), listed ? peers : List.of(), this.local.loads(),
+				this.local.uses(), this.local.changes(), versions, millis, answered);
 	}
 
 	private void send(ByteBuffer datagram, SocketAddress target) {
