--- /dev/null
+++ b/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
@@ -0,0 +1,175 @@
+package org.banyanstile.server.gossip;
+
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+
+import org.banyanstile.core.catalog.Catalog;
+import org.banyanstile.core.catalog.EndpointPhase;
+import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.banyanstile.core.common.Ticker;
+import org.banyanstile.server.router.DecisionLog;
+import org.banyanstile.server.view.FleetView;
+import org.banyanstile.server.view.MalformedRowException;
+import org.banyanstile.server.view.RowDecoder;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests for {@link GossipNode} over loopback.
+ *
+ * @author banyanstile contributors
+ */
+class GossipNodeTests {
+
+	private static final long PATIENCE_NANOS = 10_000_000_000L;
+
+	private final List<Vm> vms = new ArrayList<>();
+
+	@AfterEach
+	void close() {
+		this.vms.forEach((vm) -> vm.node.close());
+	}
+
+	private Vm start(String name, Vm... seeds) throws Exception {
+		Vm vm = new Vm(name);
+		this.vms.add(vm);
+		vm.node.addSeeds(List.of(seeds).stream().map((seed) -> seed.address).toList());
+		return vm;
+	}
+
+	private static void await(BooleanSupplier condition) throws InterruptedException {
+		long end = System.nanoTime() + PATIENCE_NANOS;
+		while (!condition.getAsBoolean()) {
+			assertThat("condition not met in time", System.nanoTime() - end < 0, is(true));
+			Thread.sleep(10);
+		}
+	}
+
+	@Test
+	void vmsThatKnowOneVmLearnOfEachOther() throws Exception {
+		Vm one = start("vm-1");
+		Vm two = start("vm-2", one);
+		Vm three = start("vm-3", one);
+		await(() -> two.knows("vm-3") && three.knows("vm-2") && one.knows("vm-2") && one.knows("vm-3"));
+	}
+
+	@Test
+	void engineThatChangesItsPartIsKnownToOtherVms() throws Exception {
+		Vm one = start("vm-1");
+		Vm two = start("vm-2", one);
+		GossipChange change = new GossipChange("engine-1", EndpointPhase.PREFILL.ordinal(), 6000);
+		one.changes.add(change);
+		await(() -> two.heard.stream().anyMatch((state) -> state.changes().equals(List.of(change))));
+	}
+
+	@Test
+	void vmThatLeavesIsKnownToLeaveAtOnce() throws Exception {
+		Vm one = start("vm-1");
+		Vm two = start("vm-2", one);
+		await(() -> one.knows("vm-2"));
+		two.state = MemberState.LEAVING;
+		await(() -> one.membership.alivePeers(System.nanoTime())
+			.stream()
+			.anyMatch((member) -> member.state() == MemberState.LEAVING.ordinal()));
+	}
+
+	/**
+	 * A VM with a fake of what it serves.
+	 */
+	private static final class Vm implements GossipNode.LocalState {
+
+		private final String address;
+
+		private final Membership membership;
+
+		private final List<GossipChange> changes = new CopyOnWriteArrayList<>();
+
+		private final List<GossipState> heard = new CopyOnWriteArrayList<>();
+
+		private final GossipNode node;
+
+		private volatile MemberState state = MemberState.SERVING;
+
+		private Vm(String name) throws Exception {
+			int port;
+			try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+				port = socket.getLocalPort();
+			}
+			this.address = "127.0.0.1:" + port;
+			this.membership = Membership
+				.of(new GossipMember(name, 1, 0, "dc-1", "127.0.0.1:1", this.address, MemberState.SERVING.ordinal()));
+			DecisionLog log = DecisionLog.create();
+			this.node = GossipNode.start(new InetSocketAddress("127.0.0.1", port), this.membership,
+					FleetView.create(new NoRows(), Ticker.system(), log), this, Ticker.system(), log);
+		}
+
+		private boolean knows(String name) {
+			return this.membership.alivePeers(System.nanoTime())
+				.stream()
+				.anyMatch((member) -> member.vm().equals(name));
+		}
+
+		@Override
+		public MemberState memberState() {
+			return this.state;
+		}
+
+		@Override
+		public List<GossipLoad> loads() {
+			return List.of();
+		}
+
+		@Override
+		public List<GossipUse> uses() {
+			return List.of();
+		}
+
+		@Override
+		public List<GossipChange> changes() {
+			return List.copyOf(this.changes);
+		}
+
+		@Override
+		public void received(GossipState next) {
+			this.heard.add(next);
+		}
+
+	}
+
+	/**
+	 * Decoder of tables that stay empty.
+	 */
+	private static final class NoRows implements RowDecoder {
+
+		@Override
+		public boolean isCatalog(String key) {
+			return false;
+		}
+
+		@Override
+		public @Nullable String evacuatedDataCentre(String key) {
+			return null;
+		}
+
+		@Override
+		public Catalog decodeCatalog(byte[] value) throws MalformedRowException {
+			throw new MalformedRowException("no rows", null);
+		}
+
+		@Override
+		public RegisteredEndpoint decodeEndpoint(String id, byte[] value) throws MalformedRowException {
+			throw new MalformedRowException("no rows", null);
+		}
+
+	}
+
+}
