--- a/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
+++ b/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
@@ -160,9 +160,8 @@
 			peer.assumed += silent * share;
 			this.level -= silent * share;
 		}
-		// Each side of a partition keeps its part of the bucket, so that the sides
-		// together
-		// cannot spend it twice.
+		// Each side of a partition keeps its part of the bucket, so that the sides do not
+		// spend it twice.
 		this.capacity = this.burst * (this.peers.size() + 1 - silentPeers) / (this.peers.size() + 1);
 		this.level = Math.min(this.capacity, this.level + seconds * this.rate);
 		this.at = Math.max(this.at, now);
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -197,8 +197,8 @@
 		}
 		catch (NotRunException ex) {
 			if (ex.hasArrived()) {
-				// The engine had granted the reservation, so it drains or changes its
-				// part.
+				// An engine that granted the reservation and refuses now is about to
+				// leave.
 				this.services.health().refused(place.engine().id(), System.nanoTime());
 				this.promptRefusals++;
 			}
