Look rows up where they are, and decide once whether a table goes out whole

Found in the last read of the change; behaviour stays, but for one race.

- FleetView copied all rows of a table for each change, and their keys again, only to look some up; TableReplica.row serves both.
- GossipNode asked twice, in two locked calls, whether changes are remembered.
Removals forgotten between the two would have gone out as changes without them. changesAfter now says whether its rows are the whole table; FleetViewTests has a test for that.
- The beat of the member already counts the rounds, so GossipNode needs no counter.
- Nobody called SharedQuota.forget, CallHandle.isCancelled and FleetReader.isReachable.

--- a/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
+++ b/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
@@ -141,14 +141,6 @@
 		peer.heard = now;
 	}
 
-	/**
-	 * Forgets a VM that has left.
-	 * @param vm the VM
-	 */
-	public void forget(String vm) {
-		this.peers.remove(vm);
-	}
-
 	private void refill(long now) {
 		double seconds = Math.max(0, now - this.at) / NANOS;
 		double share = this.rate / (this.peers.size() + 1);
--- a/core/src/main/java/org/banyanstile/core/replica/TableReplica.java
+++ b/core/src/main/java/org/banyanstile/core/replica/TableReplica.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import java.util.TreeSet;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Copy of a table of the store. Changes come from the store's feed or from other VMs, in
  * any order and more than once; a row never goes back to an older version. Not safe for
@@ -59,6 +61,15 @@
 		return this.rows.values();
 	}
 
+	/**
+	 * Returns a present row.
+	 * @param key its key
+	 * @return the row, or {@code null} if there is none
+	 */
+	public @Nullable ReplicaRow row(String key) {
+		return this.rows.get(key);
+	}
+
 	/**
 	 * Applies the whole table as of one moment.
 	 * @param all all rows
--- a/io/src/main/java/org/banyanstile/io/http/CallHandle.java
+++ b/io/src/main/java/org/banyanstile/io/http/CallHandle.java
@@ -45,14 +45,6 @@
 		this.pending = null;
 	}
 
-	/**
-	 * Returns whether the handle was cancelled.
-	 * @return whether it was
-	 */
-	public synchronized boolean isCancelled() {
-		return this.cancelled;
-	}
-
 	/**
 	 * Closes the connection of the running call and fails all later calls.
 	 */
--- a/server/src/main/java/org/banyanstile/server/Daemon.java
+++ b/server/src/main/java/org/banyanstile/server/Daemon.java
@@ -29,6 +29,7 @@
 import org.banyanstile.server.endpoint.ServiceClient;
 import org.banyanstile.server.operator.BurnCountersSource;
 import org.banyanstile.server.operator.OperatorServer;
+import org.banyanstile.server.vm.Addresses;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -1,6 +1,5 @@
 package org.banyanstile.server.gossip;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -16,9 +15,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.zip.DataFormatException;
-import java.util.zip.Deflater;
-import java.util.zip.Inflater;
 
 import org.banyanstile.core.common.Ticker;
 import org.banyanstile.core.replica.ReplicaRow;
@@ -28,6 +24,7 @@
 import org.banyanstile.server.view.FleetTable;
 import org.banyanstile.server.view.FleetView;
 import org.banyanstile.server.view.TableRead;
+import org.banyanstile.server.vm.Addresses;
 
 /**
  * Exchanges state with other VMs by datagrams: in each round with a few VMs, and at once
@@ -54,14 +51,10 @@
 
 	private static final int MAX_DATAGRAM = 60_000;
 
-	private static final int MAX_ROW_BYTES = 1 << 20;
-
 	private static final int TABLES = FleetTable.values().length;
 
 	private final DatagramChannel channel;
 
-	private volatile long rounds;
-
 	private final Membership membership;
 
 	private final FleetView view;
@@ -167,7 +160,6 @@
 			this.membership.beat(this.local.memberState());
 			List<String> targets = new ArrayList<>(allAddresses());
 			Collections.shuffle(targets, this.random);
-			this.rounds++;
 			send(targets.subList(0, Math.min(FANOUT, targets.size())));
 		}
 		catch (RuntimeException ex) {
@@ -191,7 +183,7 @@
 		try {
 			ByteBuffer datagram = ByteBuffer.wrap(this.codec.encode(new Message(Message.ONE_WAY, state(false))));
 			for (String target : targets) {
-				send(datagram.duplicate(), address(target));
+				send(datagram.duplicate(), Addresses.parse(target));
 			}
 		}
 		catch (IOException ex) {
@@ -207,9 +199,10 @@
 			millis.add(this.view.storeMillis(table));
 		}
 		List<GossipMember> peers = this.membership.alivePeers(this.ticker.nanos());
-		boolean listed = answered || peers.size() > FANOUT || this.rounds % MEMBER_ROUNDS == 0;
-		return new GossipState(this.membership.self(), listed ? peers : List.of(), this.local.loads(),
-				this.local.uses(), this.local.changes(), versions, millis, answered);
+		GossipMember self = this.membership.self();
+		boolean listed = answered || peers.size() > FANOUT || self.beat() % MEMBER_ROUNDS == 0;
+		return new GossipState(self, listed ? peers : List.of(), this.local.loads(), this.local.uses(),
+				this.local.changes(), versions, millis, answered);
 	}
 
 	private void send(ByteBuffer datagram, SocketAddress target) {
@@ -228,11 +221,6 @@
 		}
 	}
 
-	private static InetSocketAddress address(String text) {
-		int colon = text.lastIndexOf(':');
-		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-	}
-
 	private void receive() {
 		ByteBuffer buffer = ByteBuffer.allocate(65_536);
 		while (!this.closed) {
@@ -284,21 +272,24 @@
 	}
 
 	private void sendRows(FleetTable table, long after, SocketAddress target) throws IOException {
-		boolean whole = !this.view.remembers(table, after);
-		TableRead read = this.view.changesAfter(table, after);
+		FleetView.MissingRows missing = this.view.changesAfter(table, after);
+		TableRead read = missing.read();
 		List<GossipRow> rows = new ArrayList<>();
 		for (ReplicaRow row : read.rows()) {
 			byte[] value = row.value();
-			rows.add(new GossipRow(row.key(), row.version(), (value != null) ? compress(value) : new byte[0]));
+			rows.add(new GossipRow(row.key(), row.version(),
+					(value != null) ? RowCompression.compress(value) : new byte[0]));
 		}
-		GossipRows message = new GossipRows(table.ordinal(), whole, after, read.version(), read.millis(), rows);
+		GossipRows message = new GossipRows(table.ordinal(), missing.whole(), after, read.version(), read.millis(),
+				rows);
 		send(ByteBuffer.wrap(this.codec.encode(new Message(Message.ONE_WAY, message))), target);
 	}
 
 	private void received(GossipRows message) throws IOException {
 		List<ReplicaRow> rows = new ArrayList<>();
 		for (GossipRow row : message.rows()) {
-			rows.add(new ReplicaRow(row.key(), row.version(), (row.value().length > 0) ? expand(row.value()) : null));
+			rows.add(new ReplicaRow(row.key(), row.version(),
+					(row.value().length > 0) ? RowCompression.expand(row.value()) : null));
 		}
 		TableRead read = new TableRead(rows, message.version(), message.millis());
 		FleetTable table = FleetTable.values()[message.table()];
@@ -310,46 +301,6 @@
 		}
 	}
 
-	private static byte[] compress(byte[] value) {
-		Deflater deflater = new Deflater(Deflater.BEST_SPEED);
-		try {
-			deflater.setInput(value);
-			deflater.finish();
-			ByteArrayOutputStream out = new ByteArrayOutputStream(value.length / 2 + 64);
-			byte[] chunk = new byte[4096];
-			while (!deflater.finished()) {
-				out.write(chunk, 0, deflater.deflate(chunk));
-			}
-			return out.toByteArray();
-		}
-		finally {
-			deflater.end();
-		}
-	}
-
-	private static byte[] expand(byte[] value) throws IOException {
-		Inflater inflater = new Inflater();
-		try {
-			inflater.setInput(value);
-			ByteArrayOutputStream out = new ByteArrayOutputStream(value.length * 4);
-			byte[] chunk = new byte[4096];
-			while (!inflater.finished()) {
-				int n = inflater.inflate(chunk);
-				if (n == 0 || out.size() > MAX_ROW_BYTES) {
-					throw new IOException("truncated or oversized row");
-				}
-				out.write(chunk, 0, n);
-			}
-			return out.toByteArray();
-		}
-		catch (DataFormatException ex) {
-			throw new IOException("malformed compressed row", ex);
-		}
-		finally {
-			inflater.end();
-		}
-	}
-
 	/**
 	 * Ends the rounds and closes the socket.
 	 */
--- a/server/src/main/java/org/banyanstile/server/view/FleetReader.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetReader.java
@@ -100,14 +100,6 @@
 		thread.start();
 	}
 
-	/**
-	 * Returns whether the last call reached the store.
-	 * @return whether it did
-	 */
-	public boolean isReachable() {
-		return this.reachable;
-	}
-
 	private void run(FleetTable table) {
 		long failures = 0;
 		boolean reread = true;
--- a/server/src/main/java/org/banyanstile/server/view/FleetView.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetView.java
@@ -156,20 +156,11 @@
 	 * @param after the version
 	 * @return the changes, or the whole table if the changes are not remembered
 	 */
-	public synchronized TableRead changesAfter(FleetTable table, long after) {
+	public synchronized MissingRows changesAfter(FleetTable table, long after) {
 		TableReplica replica = replica(table);
-		Collection<ReplicaRow> rows = replica.remembers(after) ? replica.changesAfter(after) : replica.rows();
-		return new TableRead(List.copyOf(rows), replica.complete(), replica.storeMillis());
-	}
-
-	/**
-	 * Returns whether the changes of a table after a version are known one by one.
-	 * @param table the table
-	 * @param after the version
-	 * @return whether they are
-	 */
-	public synchronized boolean remembers(FleetTable table, long after) {
-		return replica(table).remembers(after);
+		boolean whole = !replica.remembers(after);
+		Collection<ReplicaRow> rows = whole ? replica.rows() : replica.changesAfter(after);
+		return new MissingRows(whole, new TableRead(List.copyOf(rows), replica.complete(), replica.storeMillis()));
 	}
 
 	/**
@@ -204,13 +195,12 @@
 		if (changed.isEmpty()) {
 			return;
 		}
-		Map<String, ReplicaRow> rows = new HashMap<>();
-		replica(table).rows().forEach((row) -> rows.put(row.key(), row));
+		TableReplica replica = replica(table);
 		if (table == FleetTable.OPERATOR) {
-			changed.forEach((key) -> updateOperator(key, rows.get(key)));
+			changed.forEach((key) -> updateOperator(key, replica.row(key)));
 		}
 		else {
-			updateEndpoints(changed, rows);
+			updateEndpoints(changed, replica);
 		}
 		rebuild();
 	}
@@ -237,10 +227,10 @@
 		}
 	}
 
-	private void updateEndpoints(Set<String> changed, Map<String, ReplicaRow> rows) {
+	private void updateEndpoints(Set<String> changed, TableReplica replica) {
 		Map<String, RegisteredEndpoint> vanished = new HashMap<>();
 		for (String id : changed) {
-			ReplicaRow row = rows.get(id);
+			ReplicaRow row = replica.row(id);
 			RegisteredEndpoint old = this.endpoints.get(id);
 			if (row == null || row.value() == null) {
 				if (old != null && old.ready() && !this.lapsed.containsKey(id)) {
@@ -303,9 +293,8 @@
 	}
 
 	private void rebuild() {
-		Set<String> present = new HashSet<>();
-		replica(FleetTable.ENDPOINTS).rows().forEach((row) -> present.add(row.key()));
-		this.endpoints.keySet().removeIf((id) -> !present.contains(id) && !this.lapsed.containsKey(id));
+		TableReplica registered = replica(FleetTable.ENDPOINTS);
+		this.endpoints.keySet().removeIf((id) -> registered.row(id) == null && !this.lapsed.containsKey(id));
 		Set<String> evacuated = new HashSet<>();
 		for (ReplicaRow row : replica(FleetTable.OPERATOR).rows()) {
 			String dataCentre = this.decoder.evacuatedDataCentre(row.key());
@@ -322,4 +311,15 @@
 		this.snapshot = new FleetSnapshot(this.catalog, usable, Map.copyOf(this.endpoints), evacuated);
 	}
 
+	/**
+	 * What a VM has to get.
+	 *
+	 * @param whole whether the rows are the whole table, so that other rows are gone
+	 * @param read the rows
+	 * @author banyanstile contributors
+	 */
+	public record MissingRows(boolean whole, TableRead read) {
+
+	}
+
 }
--- a/server/src/main/java/org/banyanstile/server/vm/Addresses.java
+++ b/server/src/main/java/org/banyanstile/server/vm/Addresses.java
@@ -7,12 +7,18 @@
  *
  * @author banyanstile contributors
  */
-final class Addresses {
+public final class Addresses {
 
 	private Addresses() {
 	}
 
-	static InetSocketAddress parse(String address) {
+	/**
+	 * Parses an address.
+	 * @param address the address as {@code ip:port}
+	 * @return the address
+	 * @throws IllegalArgumentException if it has another form
+	 */
+	public static InetSocketAddress parse(String address) {
 		int colon = address.lastIndexOf(':');
 		if (colon <= 0) {
 			throw new IllegalArgumentException("address '" + address + "' is not of the form ip:port");
--- a/server/src/test/java/org/banyanstile/server/view/FleetViewTests.java
+++ b/server/src/test/java/org/banyanstile/server/view/FleetViewTests.java
@@ -129,6 +129,25 @@
 		assertThat(usable(), hasSize(1));
 	}
 
+	/**
+	 * Guards against a whole table that is passed on as changes, which would hide the
+	 * removals that are not remembered any more.
+	 */
+	@Test
+	void vmThatMissedMoreThanIsRememberedGetsTheWholeTable() {
+		put(FleetTable.ENDPOINTS, "e0", "ready");
+		long known = this.version;
+		put(FleetTable.ENDPOINTS, "e1", "ready");
+		assertThat(this.view.changesAfter(FleetTable.ENDPOINTS, known).whole(), is(false));
+		for (int i = 0; i < 600; i++) {
+			put(FleetTable.ENDPOINTS, "gone" + i, "ready");
+			put(FleetTable.ENDPOINTS, "gone" + i, null);
+		}
+		FleetView.MissingRows missing = this.view.changesAfter(FleetTable.ENDPOINTS, known);
+		assertThat(missing.whole(), is(true));
+		assertThat(missing.read().rows(), hasSize(2));
+	}
+
 	/**
 	 * Reads a configuration from its version, and an endpoint from its state.
 	 *
