Leave a silent stream only for an engine that has memory for it

Cause: a stream that was silent for 1.3 s was given up, whatever its engine was doing. A preempted request is silent for some seconds and goes on by itself; leaving it threw its prompt away while no other engine had memory, so the caller's stream ended or waited in the line from the start.

Ruled out: a longer silence for all streams. Callers give up after two seconds, so an engine that is gone without a word would take its streams with it.

Change: when the silence has passed, a place is reserved at another engine first, past the line. Only with that place and a repeat of the budget the stream leaves its engine; otherwise it waits for its own engine further. GenerationTests.silentStreamStaysAtItsEngineWhileNoOtherHasMemory and silentStreamGoesOnAtAnEngineThatHasMemory; the first one is red without the change.

--- a/server/src/main/java/org/banyanstile/server/router/DecodePlaces.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodePlaces.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Predicate;
 
 import org.banyanstile.core.catalog.EndpointPhase;
 import org.banyanstile.core.catalog.EngineTraits;
@@ -86,7 +87,7 @@
 		try {
 			while (true) {
 				if (line.isTurn(ticket)) {
-					DecodePlace place = tryReserve();
+					DecodePlace place = tryReserve((engine) -> true);
 					if (place != null) {
 						return place;
 					}
@@ -109,14 +110,28 @@
 		}
 	}
 
+	/**
+	 * Reserves a place at once, past the line, for a stream that its engine keeps
+	 * waiting.
+	 * @param engine the engine, which is left out
+	 * @return the place, or {@code null} if no other engine has memory
+	 */
+	@Nullable
+	DecodePlace tryElsewhere(RegisteredEndpoint engine) {
+		return tryReserve((other) -> !other.id().equals(engine.id()));
+	}
+
 	// Spreads returning callers over the time in which the engines can take the line.
 	private double retrySeconds(AdmissionLine line) {
 		double spread = Math.min(3, 0.5 + 0.1 * line.length());
 		return 0.5 + spread * Math.random();
 	}
 
-	private @Nullable DecodePlace tryReserve() {
-		List<RegisteredEndpoint> engines = this.services.engines(this.call.service(), EndpointPhase.DECODE);
+	private @Nullable DecodePlace tryReserve(Predicate<RegisteredEndpoint> candidate) {
+		List<RegisteredEndpoint> engines = this.services.engines(this.call.service(), EndpointPhase.DECODE)
+			.stream()
+			.filter(candidate)
+			.toList();
 		List<RegisteredEndpoint> ordered = this.services.picker()
 			.mostFreeMemory(engines, this.traits.memoryTokens(), this.tokens, System.nanoTime());
 		int asked = 0;
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -12,6 +12,7 @@
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.io.http.HttpException;
 import org.banyanstile.io.http.HttpResponse;
+import org.banyanstile.io.http.ResponseTimeoutException;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -54,8 +55,9 @@
 	private static final long MAX_BACKLOG_TOKENS = 13_000;
 
 	/**
-	 * Silence after which a stream that may be resumed goes on elsewhere. Events of a
-	 * sound engine are 50 to 90 ms apart, and callers give up after two seconds or more.
+	 * Silence after which a stream that may be resumed goes on elsewhere, if another
+	 * engine has memory for it. Events of a sound engine are 50 to 90 ms apart, and
+	 * callers give up after two seconds or more.
 	 */
 	private static final long SILENCE_MILLIS = 1300;
 
@@ -99,6 +101,11 @@
 	 */
 	private int promptRefusals;
 
+	/**
+	 * A place that is reserved for the rest of the stream when its engine is left.
+	 */
+	private @Nullable DecodePlace successor;
+
 	private GenerationRun(RouterServices services, RouterCall call, EngineTraits traits) {
 		this.services = services;
 		this.call = call;
@@ -125,15 +132,17 @@
 		}
 		finally {
 			dropPrompt();
+			if (this.successor != null) {
+				releaseReservation(this.successor);
+			}
 		}
 	}
 
 	private void run() throws RefusalException, IOException {
 		String reason = "no engine took the request in time";
 		while (!this.call.isOver()) {
-			DecodePlace place = new DecodePlaces(this.services, this.call, this.traits, neededTokens()).await();
-			if (!this.attempts.tryNext()) {
-				releaseReservation(place);
+			DecodePlace place = nextPlace();
+			if (place == null) {
 				reason = "the retry budget is used up";
 				break;
 			}
@@ -168,6 +177,29 @@
 		fail(reason);
 	}
 
+	private DecodePlaces places() {
+		return new DecodePlaces(this.services, this.call, this.traits, neededTokens());
+	}
+
+	// Takes the place that is reserved for the rest of the stream, or waits for one.
+	// @return the place, or {@code null} if the retry budget is used up
+	private @Nullable DecodePlace nextPlace() throws RefusalException {
+		DecodePlace reserved = this.successor;
+		if (reserved != null) {
+			this.successor = null;
+			return reserved;
+		}
+		return permitted(places().await());
+	}
+
+	private @Nullable DecodePlace permitted(DecodePlace place) {
+		if (this.attempts.tryNext()) {
+			return place;
+		}
+		releaseReservation(place);
+		return null;
+	}
+
 	private void fail(String reason) throws RefusalException {
 		if (this.call.response().isStarted()) {
 			this.services.log()
@@ -316,7 +348,7 @@
 				this.call.response().start(response.status(), response.headers(), this.services.protocol());
 			}
 			response.setReadTimeout(resumable ? Duration.ofMillis(SILENCE_MILLIS) : silence);
-			relay(response);
+			relay(response, engine);
 			this.services.health().answered(engine.id(), 0, false, System.nanoTime());
 			this.call.response().end();
 			this.attempts.log(engine, "complete", this.events.events() + " events");
@@ -335,8 +367,8 @@
 		}
 	}
 
-	private void relay(HttpResponse response) throws HttpException, IOException {
-		ByteBuffer bytes = response.next();
+	private void relay(HttpResponse response, RegisteredEndpoint engine) throws HttpException, IOException {
+		ByteBuffer bytes = next(response, engine);
 		boolean first = this.events.events() == 0;
 		while (bytes != null) {
 			ByteBuffer whole = this.events.take(bytes);
@@ -347,13 +379,38 @@
 				}
 				this.call.response().write(whole);
 			}
-			bytes = response.next();
+			bytes = next(response, engine);
 		}
 		if (this.events.rest().hasRemaining()) {
 			this.call.response().write(this.events.rest());
 		}
 	}
 
+	// Waits for more of the stream. Silence alone does not end it: a preempted request
+	// goes on when its engine has memory again.
+	private @Nullable ByteBuffer next(HttpResponse response, RegisteredEndpoint engine) throws HttpException {
+		while (true) {
+			try {
+				return response.next();
+			}
+			catch (ResponseTimeoutException ex) {
+				if (this.call.isOver() || hasSuccessor(engine)) {
+					throw ex;
+				}
+				this.attempts.log(engine, "silent", "no other engine can go on with the stream");
+			}
+		}
+	}
+
+	private boolean hasSuccessor(RegisteredEndpoint engine) {
+		if (!this.call.route().resumable() || !this.attempts.mayRunAgain()) {
+			return false;
+		}
+		DecodePlace place = places().tryElsewhere(engine);
+		this.successor = (place != null) ? permitted(place) : null;
+		return this.successor != null;
+	}
+
 	// An engine answered with a failure, so it ran the request.
 	private boolean failure(RegisteredEndpoint engine, HttpResponse response) throws HttpException, IOException {
 		byte[] body = response.bytes(MAX_HANDLE_BYTES * 16);
