Share limits among registered VMs, and give their rows a life

Reading on, the bucket also never forgot a VM, so each replaced one kept its share of rate and bucket for good; retry budget and cold rate counted only VMs that were heard.

Ruled out: a smaller bucket for the first seconds of a life. It costs every start and only delays the excess. Leases renewed by each VM: a write each few seconds for each of 1,100 VMs.

Change: VmRegistration keeps the row of the VM and reads those of the others. Registered VMs that are not heard count as silent ones, which hold a share. Above eight VMs the rows are read less often, so that the fleet stays under one call a second. The gossip no longer collects addresses of all VMs that ever were.

Limit: a VM that is cut off from both sides for more than a minute loses its share although it still serves.

--- a/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
+++ b/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Token limit of one team over all VMs without an owner. Each VM keeps the bucket of the
@@ -119,6 +120,20 @@
 		return this.used;
 	}
 
+	/**
+	 * Sets the other VMs of the fleet. One that has not reported yet counts as silent, so
+	 * a VM that starts behind a cut holds back the shares of those on the other side.
+	 * @param vms names of the other VMs
+	 * @param now the current time in nanoseconds
+	 */
+	public void setPeers(Set<String> vms, long now) {
+		refill(now);
+		this.peers.keySet().retainAll(vms);
+		for (String vm : vms) {
+			this.peers.computeIfAbsent(vm, (name) -> Peer.unheard(now - SILENT_NANOS));
+		}
+	}
+
 	/**
 	 * Takes the use of another VM into account.
 	 * @param vm the VM
@@ -130,9 +145,7 @@
 		refill(now);
 		Peer peer = this.peers.get(vm);
 		if (peer == null || peer.incarnation != incarnation) {
-			peer = new Peer();
-			peer.incarnation = incarnation;
-			peer.reported = total;
+			peer = Peer.of(incarnation, total);
 			this.peers.put(vm, peer);
 		}
 		this.level = Math.min(this.burst, this.level - (total - peer.reported) + peer.assumed);
@@ -166,7 +179,12 @@
 	 */
 	private static final class Peer {
 
-		private long incarnation;
+		/**
+		 * Incarnation of a VM that has not reported; times of day are positive.
+		 */
+		private static final long UNHEARD = -1;
+
+		private final long incarnation;
 
 		private long reported;
 
@@ -174,6 +192,20 @@
 
 		private double assumed;
 
+		private Peer(long incarnation, long reported, long heard) {
+			this.incarnation = incarnation;
+			this.reported = reported;
+			this.heard = heard;
+		}
+
+		private static Peer of(long incarnation, long reported) {
+			return new Peer(incarnation, reported, 0);
+		}
+
+		private static Peer unheard(long heard) {
+			return new Peer(UNHEARD, 0, heard);
+		}
+
 	}
 
 }
--- a/core/src/main/java/org/banyanstile/core/membership/RegisteredVms.java
+++ b/core/src/main/java/org/banyanstile/core/membership/RegisteredVms.java
@@ -9,8 +9,9 @@
 import org.banyanstile.core.common.VmId;
 
 /**
- * VMs that count for majorities: those named in slot rows, without those that the
- * platform's VM list has lacked for 60 s. Not safe for use by several threads.
+ * VMs that count for majorities and for shares of limits: those named in rows of the
+ * store, without those that the platform's VM list, or whoever hears from VMs, has lacked
+ * for 60 s. Not safe for use by several threads.
  *
  * @author banyanstile contributors
  */
@@ -68,6 +69,16 @@
 		return counted;
 	}
 
+	/**
+	 * Returns the VMs that are named in rows but do not count any more.
+	 * @return the VMs
+	 */
+	public Set<VmId> missing() {
+		Set<VmId> gone = new LinkedHashSet<>(this.named);
+		gone.removeIf((vm) -> !isMissing(vm));
+		return gone;
+	}
+
 	/**
 	 * Returns whether the slot rows were ever read, or learned from a peer.
 	 * @return whether the set is known
--- a/core/src/test/java/org/banyanstile/core/limit/SharedQuotaRandomTests.java
+++ b/core/src/test/java/org/banyanstile/core/limit/SharedQuotaRandomTests.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -50,11 +52,10 @@
 	}
 
 	/**
-	 * A VM that starts behind a cut does not know of the VMs on the other side, so it
-	 * holds back nothing for them.
+	 * A VM that starts behind a cut has not heard the VMs on the other side. It learns
+	 * from the rows of the store that they exist.
 	 */
 	@Test
-	@Tag("known-red")
 	void noWindowExceedsTheBoundWhenVmsStartBehindACut() {
 		assertThat("part of the limit that was used on the worst day", leastUse(true), greaterThan(0.5));
 	}
@@ -96,6 +97,8 @@
 			for (int i = 0; i < count; i++) {
 				this.vms.add(new Vm("vm-" + i));
 			}
+			Set<String> names = this.vms.stream().map((vm) -> vm.name).collect(Collectors.toSet());
+			this.vms.forEach((vm) -> vm.register(names));
 		}
 
 		private void play() {
@@ -183,11 +186,19 @@
 
 		private boolean started = true;
 
+		private Set<String> others = Set.of();
+
 		private Vm(String name) {
 			this.name = name;
 			this.phase = Math.floorMod(name.hashCode() * 70, (int) ROUND_MILLIS) / STEP_MILLIS * STEP_MILLIS;
 		}
 
+		private void register(Set<String> names) {
+			this.others = new HashSet<>(names);
+			this.others.remove(this.name);
+			this.quota.setPeers(this.others, 0);
+		}
+
 		private void side(int next) {
 			this.side = next;
 		}
@@ -202,6 +213,7 @@
 				this.started = true;
 				this.incarnation++;
 				this.quota = SharedQuota.empty(RATE, CAPACITY, now * 1_000_000);
+				this.quota.setPeers(this.others, now * 1_000_000);
 			}
 			return this.quota;
 		}
--- a/core/src/test/java/org/banyanstile/core/limit/SharedQuotaTests.java
+++ b/core/src/test/java/org/banyanstile/core/limit/SharedQuotaTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 
@@ -49,6 +50,22 @@
 		assertThat(quota.take(10_000, wait + 1), is(0L));
 	}
 
+	@Test
+	void registeredVmThatIsNotHeardHoldsItsShareOfTheBucket() {
+		SharedQuota quota = SharedQuota.empty(RATE, BURST, 0);
+		quota.setPeers(Set.of("vm1"), 0);
+		assertThat(quota.take((long) BURST / 2, 10_000 * MILLI), is(0L));
+		assertThat(quota.take((long) BURST / 4, 10_000 * MILLI), is(greaterThan(0L)));
+	}
+
+	@Test
+	void vmThatLeftTheFleetHoldsNoShare() {
+		SharedQuota quota = SharedQuota.empty(RATE, BURST, 0);
+		quota.setPeers(Set.of("vm1"), 0);
+		quota.setPeers(Set.of(), 5000 * MILLI);
+		assertThat(quota.take((long) BURST, 10_000 * MILLI), is(0L));
+	}
+
 	@Test
 	void smallRequestPassesWhereALargeOneHasEmptiedTheBucket() {
 		SharedQuota quota = SharedQuota.empty(RATE, BURST, 0);
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -73,6 +73,8 @@
 
 	private volatile Set<String> seeds = Set.of();
 
+	private volatile Set<String> registered = Set.of();
+
 	private volatile boolean closed;
 
 	private GossipNode(DatagramChannel channel, Membership membership, FleetView view, LocalState local, Ticker ticker,
@@ -137,14 +139,19 @@
 	}
 
 	/**
-	 * Adds addresses to try beside those of known VMs.
+	 * Sets addresses to try beside those of known VMs.
+	 * @param addresses addresses of VMs, which may be down
+	 */
+	public void setSeeds(Collection<String> addresses) {
+		this.seeds = Set.copyOf(addresses);
+	}
+
+	/**
+	 * Sets the addresses of registered VMs, which replace those of an earlier call.
 	 * @param addresses addresses of VMs, which may be down
 	 */
-	public void addSeeds(Collection<String> addresses) {
-		Set<String> all = new LinkedHashSet<>(this.seeds);
-		all.addAll(addresses);
-		all.remove(this.membership.self().peerAddress());
-		this.seeds = all;
+	public void setRegistered(Collection<String> addresses) {
+		this.registered = Set.copyOf(addresses);
 	}
 
 	/**
@@ -172,7 +179,9 @@
 		this.membership.knownPeers().forEach((member) -> addresses.add(member.peerAddress()));
 		if (addresses.size() < 3 || this.random.nextInt(8) == 0) {
 			addresses.addAll(this.seeds);
+			addresses.addAll(this.registered);
 		}
+		addresses.remove(this.membership.self().peerAddress());
 		return addresses;
 	}
 
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -27,6 +27,7 @@
 import org.banyanstile.server.gossip.GossipUse;
 import org.banyanstile.server.gossip.MemberState;
 import org.banyanstile.server.gossip.Membership;
+import org.banyanstile.server.gossip.VmRegistration;
 import org.banyanstile.server.view.FleetReader;
 import org.banyanstile.server.view.FleetView;
 import org.banyanstile.server.view.RowDecoder;
@@ -56,6 +57,8 @@
 
 	private final FleetReader reader;
 
+	private final VmRegistration registration;
+
 	private final GossipNode gossip;
 
 	private final RequestIntake intake;
@@ -67,12 +70,14 @@
 	private final HttpClient client;
 
 	private Router(RouterServices services, TeamQuotas quotas, Departure departure, DecisionLog log, FleetReader reader,
-			GossipNode gossip, RequestIntake intake, RouterServer server, RoleKeeper keeper, HttpClient client) {
+			VmRegistration registration, GossipNode gossip, RequestIntake intake, RouterServer server,
+			RoleKeeper keeper, HttpClient client) {
 		this.services = services;
 		this.quotas = quotas;
 		this.departure = departure;
 		this.log = log;
 		this.reader = reader;
+		this.registration = registration;
 		this.gossip = gossip;
 		this.intake = intake;
 		this.server = server;
@@ -100,22 +105,25 @@
 				settings.dataCentre(), text(addresses.callers()), ownPeerAddress, MemberState.STARTING.ordinal()));
 		EndpointLoads loads = new EndpointLoads();
 		EndpointHealth health = new EndpointHealth();
-		TeamQuotas quotas = new TeamQuotas(ticker, settings.limitTolerance());
+		VmRegistration registration = VmRegistration.create(platform.source(), membership, ticker, log);
+		TeamQuotas quotas = new TeamQuotas(ticker, settings.limitTolerance(), registration::others);
 		Departure departure = Departure.within(settings.shutdown(), ticker);
 		PhaseChanges changes = new PhaseChanges();
 		State state = new State(view, loads, quotas, changes, departure, ticker);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 		RouterServices services = new RouterServices(settings, view, changes, platform.requests(), platform.engines(),
 				loads, health, EndpointPicker.create(loads, health, new Random()),
-				new EndpointClient(platform.client(), platform.requests(), health), membership::size, log, registry);
+				new EndpointClient(platform.client(), platform.requests(), health),
+				() -> registration.others().size() + 1, log, registry);
 		RequestIntake intake = new RequestIntake(services, quotas, departure);
 		RouterServer server = new RouterServer(services, intake, platform.directory(),
 				() -> addresses(membership, departure, ticker), departure);
 		server.start(addresses, registry::scrape);
 		GossipNode gossip = GossipNode.start(peerAddress, membership, view, state, ticker, log);
-		gossip.addSeeds(seeds);
+		gossip.setSeeds(seeds);
 		FleetReader reader = FleetReader.create(platform.source(), view, () -> membership.rank(ticker.nanos()), log);
-		reader.start(settings.vm(), ownPeerAddress, gossip::addSeeds);
+		reader.start();
+		registration.start(gossip::setRegistered);
 		server.every(Duration.ofSeconds(1), () -> {
 			platform.client().closeIdle(MAX_IDLE);
 			services.metrics().usable(view.snapshot().usable());
@@ -124,7 +132,8 @@
 				() -> membership.rank(ticker.nanos()) == 0 && !departure.hasBegun(), log);
 		keeper.start();
 		log.lifecycle("started", "vm", settings.vm(), "callers", text(addresses.callers()));
-		return new Router(services, quotas, departure, log, reader, gossip, intake, server, keeper, platform.client());
+		return new Router(services, quotas, departure, log, reader, registration, gossip, intake, server, keeper,
+				platform.client());
 	}
 
 	private static String text(InetSocketAddress address) {
@@ -172,6 +181,7 @@
 		this.log.lifecycle("stopped", "running", this.intake.running());
 		this.keeper.close();
 		this.reader.close();
+		this.registration.close();
 		this.server.close();
 		this.gossip.close();
 		this.client.close();
@@ -242,7 +252,7 @@
 			if (catalog == null) {
 				return MemberState.STARTING;
 			}
-			catalog.teams().forEach(this.quotas::prepare);
+			this.quotas.prepare(catalog.teams());
 			return MemberState.SERVING;
 		}
 
--- a/server/src/main/java/org/banyanstile/server/router/TeamQuotas.java
+++ b/server/src/main/java/org/banyanstile/server/router/TeamQuotas.java
@@ -1,9 +1,12 @@
 package org.banyanstile.server.router;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
 
 import org.banyanstile.core.catalog.TeamPolicy;
 import org.banyanstile.core.common.Ticker;
@@ -31,10 +34,13 @@
 
 	private final Ticker ticker;
 
+	private final Supplier<Set<String>> others;
+
 	private double extraTokens;
 
-	TeamQuotas(Ticker ticker, double tolerance) {
+	TeamQuotas(Ticker ticker, double tolerance, Supplier<Set<String>> others) {
 		this.ticker = ticker;
+		this.others = others;
 		this.extraTokens = USED_TOLERANCE * tolerance;
 	}
 
@@ -84,12 +90,20 @@
 	}
 
 	/**
-	 * Prepares the bucket of a team, so that it fills before the first request.
-	 * @param team the team
+	 * Prepares the buckets of teams, so that they fill before the first requests, and
+	 * tells them the VMs of the fleet.
+	 * @param teams the teams
 	 */
-	synchronized void prepare(TeamPolicy team) {
-		if (team.isLimited()) {
-			quota(team);
+	void prepare(Collection<TeamPolicy> teams) {
+		Set<String> vms = this.others.get();
+		long now = this.ticker.nanos();
+		synchronized (this) {
+			this.heard.values().forEach((uses) -> uses.keySet().retainAll(vms));
+			for (TeamPolicy team : teams) {
+				if (team.isLimited()) {
+					quota(team).setPeers(vms, now);
+				}
+			}
 		}
 	}
 
--- a/server/src/main/java/org/banyanstile/server/view/FleetReader.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetReader.java
@@ -1,9 +1,6 @@
 package org.banyanstile.server.view;
 
 import java.time.Duration;
-import java.util.Collection;
-import java.util.List;
-import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
 import org.banyanstile.server.router.DecisionLog;
@@ -49,8 +46,6 @@
 	 */
 	private static final long MAX_BACKOFF_MILLIS = 600;
 
-	private static final long REGISTERED_MILLIS = 10_000;
-
 	private final TableSource source;
 
 	private final FleetView view;
@@ -84,14 +79,10 @@
 
 	/**
 	 * Starts to read.
-	 * @param vm name of this VM
-	 * @param peerAddress its address for other VMs
-	 * @param peers receives the addresses of registered VMs
 	 */
-	public void start(String vm, String peerAddress, Consumer<Collection<String>> peers) {
+	public void start() {
 		thread("operator-reader", () -> run(FleetTable.OPERATOR));
 		thread("endpoint-reader", () -> run(FleetTable.ENDPOINTS));
-		thread("registration", () -> registration(vm, peerAddress, peers));
 	}
 
 	private static void thread(String name, Runnable body) {
@@ -160,25 +151,6 @@
 		}
 	}
 
-	private void registration(String vm, String peerAddress, Consumer<Collection<String>> peers) {
-		boolean registered = false;
-		while (!this.closed) {
-			try {
-				if (!registered) {
-					this.source.register(vm, peerAddress);
-					registered = true;
-				}
-				List<String> addresses = this.source.registered();
-				peers.accept(addresses);
-				pause(REGISTERED_MILLIS);
-			}
-			catch (TableSourceException ex) {
-				this.log.problem("registration of this VM is tried again", ex);
-				pause(MAX_BACKOFF_MILLIS);
-			}
-		}
-	}
-
 	private static void pause(long millis) {
 		if (millis <= 0) {
 			return;
--- a/server/src/main/java/org/banyanstile/server/view/TableSource.java
+++ b/server/src/main/java/org/banyanstile/server/view/TableSource.java
@@ -38,11 +38,18 @@
 	void register(String vm, String peerAddress) throws TableSourceException;
 
 	/**
-	 * Returns the addresses of registered VMs.
-	 * @return their addresses for other VMs
+	 * Returns the registered VMs.
+	 * @return their rows
 	 * @throws TableSourceException if the store did not answer
 	 */
-	List<String> registered() throws TableSourceException;
+	List<VmRow> registered() throws TableSourceException;
+
+	/**
+	 * Removes the row of a VM if it was not written since.
+	 * @param row the row as it was read
+	 * @throws TableSourceException if the store did not answer, so the outcome is unknown
+	 */
+	void unregister(VmRow row) throws TableSourceException;
 
 	/**
 	 * Reads the row that says which VM may give orders.
--- a/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
@@ -42,7 +42,7 @@
 	private Vm start(String name, Vm... seeds) throws Exception {
 		Vm vm = new Vm(name);
 		this.vms.add(vm);
-		vm.node.addSeeds(List.of(seeds).stream().map((seed) -> seed.address).toList());
+		vm.node.setSeeds(List.of(seeds).stream().map((seed) -> seed.address).toList());
 		return vm;
 	}
 
--- /dev/null
+++ b/server/src/test/java/org/banyanstile/server/gossip/VmRegistrationTests.java
@@ -0,0 +1,152 @@
+package org.banyanstile.server.gossip;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.banyanstile.core.membership.RegisteredVms;
+import org.banyanstile.server.router.DecisionLog;
+import org.banyanstile.server.view.FleetTable;
+import org.banyanstile.server.view.OrderRow;
+import org.banyanstile.server.view.TableRead;
+import org.banyanstile.server.view.TableSource;
+import org.banyanstile.server.view.TableSourceException;
+import org.banyanstile.server.view.VmRow;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.empty;
+
+/**
+ * Tests for {@link VmRegistration}.
+ *
+ * @author banyanstile contributors
+ */
+class VmRegistrationTests {
+
+	private final RowSource source = new RowSource();
+
+	private final Membership membership = Membership.of(member("vm2", 1));
+
+	private long now;
+
+	private final VmRegistration registration = VmRegistration.create(this.source, this.membership, () -> this.now,
+			DecisionLog.create());
+
+	private static GossipMember member(String vm, long beat) {
+		return new GossipMember(vm, 1, beat, "dc", "127.0.0.1:1", address(vm), MemberState.SERVING.ordinal());
+	}
+
+	private static String address(String vm) {
+		return "127.0.0.1:" + (vm.charAt(2) - '0');
+	}
+
+	@Test
+	void knowsRegisteredVmsThatItHasNotHeard() throws Exception {
+		this.source.add("vm1");
+		this.source.add("vm3");
+		assertThat(this.registration.round(), containsInAnyOrder(address("vm1"), address("vm3")));
+		assertThat(this.registration.others(), containsInAnyOrder("vm1", "vm3"));
+	}
+
+	@Test
+	void firstVmRemovesTheRowOfOneThatNobodyHeardForAMinute() throws Exception {
+		this.source.add("vm3");
+		this.registration.round();
+		this.now += RegisteredVms.MISSING_NANOS;
+		this.registration.round();
+		assertThat(this.source.names(), contains("vm2"));
+		assertThat(this.registration.others(), empty());
+	}
+
+	@Test
+	void rowOfAVmThatIsHeardStays() throws Exception {
+		this.source.add("vm3");
+		this.registration.round();
+		for (int i = 0; i < 8; i++) {
+			this.now += RegisteredVms.MISSING_NANOS / 6;
+			this.membership.merge(List.of(member("vm3", i + 1)), this.now);
+			this.registration.round();
+		}
+		assertThat(this.source.names(), containsInAnyOrder("vm2", "vm3"));
+	}
+
+	@Test
+	void otherVmsRemoveNoRow() throws Exception {
+		this.source.add("vm1");
+		this.source.add("vm3");
+		this.registration.round();
+		this.now += RegisteredVms.MISSING_NANOS;
+		this.membership.merge(List.of(member("vm1", 7)), this.now);
+		this.registration.round();
+		assertThat(this.source.names(), containsInAnyOrder("vm1", "vm2", "vm3"));
+		assertThat(this.registration.others(), contains("vm1"));
+	}
+
+	@Test
+	void vmWritesItsRowAgainAfterItWasRemoved() throws Exception {
+		this.registration.round();
+		this.source.rows.clear();
+		this.registration.round();
+		assertThat(this.source.names(), contains("vm2"));
+	}
+
+	/**
+	 * Store with rows of VMs only.
+	 *
+	 * @author banyanstile contributors
+	 */
+	private static final class RowSource implements TableSource {
+
+		private final List<VmRow> rows = new ArrayList<>();
+
+		private long version;
+
+		private void add(String vm) {
+			this.rows.add(new VmRow(vm, address(vm), ++this.version));
+		}
+
+		private List<String> names() {
+			return this.rows.stream().map(VmRow::vm).toList();
+		}
+
+		@Override
+		public TableRead readAll(FleetTable table) throws TableSourceException {
+			throw new TableSourceException("no table " + table, null);
+		}
+
+		@Override
+		public TableRead changes(FleetTable table, long after, Duration wait) throws TableSourceException {
+			throw new TableSourceException("no table " + table, null);
+		}
+
+		@Override
+		public void register(String vm, String peerAddress) {
+			this.rows.add(new VmRow(vm, peerAddress, ++this.version));
+		}
+
+		@Override
+		public List<VmRow> registered() {
+			return List.copyOf(this.rows);
+		}
+
+		@Override
+		public void unregister(VmRow row) {
+			this.rows.remove(row);
+		}
+
+		@Override
+		public OrderRow orderRow() {
+			return new OrderRow(0, "");
+		}
+
+		@Override
+		public long writeOrderRow(String vm, long expectedVersion) {
+			return -1;
+		}
+
+	}
+
+}
--- a/server/src/test/java/org/banyanstile/server/view/FleetReaderTests.java
+++ b/server/src/test/java/org/banyanstile/server/view/FleetReaderTests.java
@@ -32,8 +32,7 @@
 		CountingSource source = new CountingSource();
 		FleetView view = FleetView.create(new NoDecoder(), Ticker.system(), DecisionLog.create());
 		try (FleetReader reader = FleetReader.create(source, view, () -> 3, DecisionLog.create())) {
-			reader.start("vm4", "127.0.0.1:1", (addresses) -> {
-			});
+			reader.start();
 			while (view.version(FleetTable.OPERATOR) < 1) {
 				Thread.onSpinWait();
 			}
@@ -51,8 +50,7 @@
 		CountingSource source = new CountingSource();
 		FleetView view = FleetView.create(new NoDecoder(), Ticker.system(), DecisionLog.create());
 		try (FleetReader reader = FleetReader.create(source, view, () -> 3, DecisionLog.create())) {
-			reader.start("vm4", "127.0.0.1:1", (addresses) -> {
-			});
+			reader.start();
 			while (view.version(FleetTable.OPERATOR) < 1 || view.version(FleetTable.ENDPOINTS) < 1) {
 				Thread.onSpinWait();
 			}
@@ -101,10 +99,15 @@
 		}
 
 		@Override
-		public List<String> registered() {
+		public List<VmRow> registered() {
 			return List.of();
 		}
 
+		@Override
+		public void unregister(VmRow row) {
+			// Other VMs are not part of these tests.
+		}
+
 		@Override
 		public OrderRow orderRow() {
 			return new OrderRow(0, "");
