Let VMs hear each other in turn, twice a second in fleets up to 64

Cause: with 58 VMs each sent its state to eight random others in a round, so a VM heard another one every 1.8 s on average and sometimes after five. Each datagram carried the list of all members, some 4 KB.

Ruled out: random choice with a larger fan-out, which keeps the tail and multiplies the bytes.

Change: PeerRotation gives each VM its turn, eight in a round at least, half of the fleet, 32 at most. The list of members goes to an eighth of them in a fleet above eight, since VMs hear each other directly.

--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -27,7 +27,7 @@
 import org.banyanstile.server.vm.Addresses;
 
 /**
- * Exchanges state with other VMs by datagrams: in each round with a few VMs, and at once
+ * Exchanges state with other VMs by datagrams: with each of them in turn, and at once
  * with all of them after a change of the operator's table. Everything sent is idempotent,
  * so lost, repeated and reordered datagrams do no harm.
  *
@@ -38,14 +38,15 @@
 	private static final long ROUND_MILLIS = 250;
 
 	/**
-	 * VMs that get the state in a round. In a small fleet all do.
+	 * VMs of a small fleet. They get the list of all members in one round of
+	 * {@link #MEMBER_ROUNDS}, those of a larger fleet in turn.
 	 */
-	private static final int FANOUT = 8;
+	private static final int SMALL_FLEET = 8;
 
 	/**
-	 * Rounds from one list of all members to the next in a fleet whose VMs all hear each
-	 * other directly. The list is half of a datagram, and two of them pass before a VM
-	 * that only some can reach counts as dead.
+	 * Rounds from one list of all members to the next. VMs hear each other directly, so
+	 * the list, which grows with the fleet, serves new VMs and those that only some can
+	 * reach. Two of them pass before such a VM counts as dead.
 	 */
 	private static final int MEMBER_ROUNDS = 4;
 
@@ -69,6 +70,8 @@
 
 	private final Random random = new Random();
 
+	private final PeerRotation rotation = new PeerRotation();
+
 	private final ScheduledExecutorService timer;
 
 	private volatile Set<String> seeds = Set.of();
@@ -121,7 +124,7 @@
 		var unused = node.timer.scheduleAtFixedRate(node::round, 0, ROUND_MILLIS, TimeUnit.MILLISECONDS);
 		view.onChange((table) -> {
 			if (table == FleetTable.OPERATOR) {
-				node.timer.execute(() -> node.send(node.allAddresses()));
+				node.timer.execute(() -> node.send(node.allAddresses(), false));
 			}
 		});
 		return node;
@@ -158,16 +161,19 @@
 	 * Sends the state to all known VMs at once.
 	 */
 	public void announce() {
-		send(allAddresses());
+		send(allAddresses(), false);
 	}
 
 	private void round() {
 		try {
 			this.view.tick();
 			this.membership.beat(this.local.memberState());
-			List<String> targets = new ArrayList<>(allAddresses());
+			List<String> targets = this.rotation.next(allAddresses());
+			boolean small = targets.size() <= SMALL_FLEET;
+			int listed = small ? 0 : targets.size() / SMALL_FLEET;
 			Collections.shuffle(targets, this.random);
-			send(targets.subList(0, Math.min(FANOUT, targets.size())));
+			send(targets.subList(0, listed), true);
+			send(targets.subList(listed, targets.size()), small && this.membership.self().beat() % MEMBER_ROUNDS == 0);
 		}
 		catch (RuntimeException ex) {
 			this.log.problem("a round of gossip failed", ex);
@@ -185,12 +191,13 @@
 		return addresses;
 	}
 
-	private void send(Collection<String> targets) {
+	private void send(Collection<String> targets, boolean listed) {
 		if (targets.isEmpty()) {
 			return;
 		}
 		try {
-			ByteBuffer datagram = ByteBuffer.wrap(this.codec.encode(new Message(Message.ONE_WAY, state(false))));
+			ByteBuffer datagram = ByteBuffer
+				.wrap(this.codec.encode(new Message(Message.ONE_WAY, state(listed, false))));
 			for (String target : targets) {
 				send(datagram.duplicate(), Addresses.parse(target));
 			}
@@ -200,17 +207,15 @@
 		}
 	}
 
-	private GossipState state(boolean answered) {
+	private GossipState state(boolean listed, boolean answered) {
 		List<Long> versions = new ArrayList<>();
 		List<Long> millis = new ArrayList<>();
 		for (FleetTable table : FleetTable.values()) {
 			versions.add(this.view.version(table));
 			millis.add(this.view.storeMillis(table));
 		}
-		List<GossipMember> peers = this.membership.alivePeers(this.ticker.nanos());
-		GossipMember self = this.membership.self();
-		boolean listed = answered || peers.size() > FANOUT || self.beat() % MEMBER_ROUNDS == 0;
-		return new GossipState(self, listed ? peers : List.of(), this.local.loads(), this.local.uses(),
+		List<GossipMember> peers = listed ? this.membership.alivePeers(this.ticker.nanos()) : List.of();
+		return new GossipState(this.membership.self(), peers, this.local.loads(), this.local.uses(),
 				this.local.changes(), versions, millis, answered);
 	}
 
@@ -276,7 +281,7 @@
 					|| state.millis().get(i) > this.view.storeMillis(table);
 		}
 		if (behind && !state.answered()) {
-			send(ByteBuffer.wrap(this.codec.encode(new Message(Message.ONE_WAY, state(true)))), sender);
+			send(ByteBuffer.wrap(this.codec.encode(new Message(Message.ONE_WAY, state(true, true)))), sender);
 		}
 	}
 
