Keep fewer engines for prompts, and let decode engines read in bursts

The rule of two was made together with the valve that lets decode engines read, and never tried without it.

No engine for prompts at all was not tried.

Change: an eighth of the engines reads prompts. Expected final sizes stay within an engine's memory.

--- a/core/src/main/java/org/banyanstile/core/placement/RoleBalance.java
+++ b/core/src/main/java/org/banyanstile/core/placement/RoleBalance.java
@@ -12,10 +12,10 @@
 
 /**
  * Decides how many engines of a service read prompts and how many generate tokens.
- * Answers the load in which decode memory is short: reading a prompt of some thousand
- * tokens occupies an engine for about a fifth of the time for which its generation
- * occupies the same part of another engine's memory, so a share of a fifth keeps both
- * busy alike. Engines differ in what they read at once, so the share is rounded up.
+ * Answers the load in which decode memory is short: engines that read prompts lend no
+ * memory to generations, and reading takes far less of an engine's time than generating
+ * takes of its memory. So few engines read prompts, and a decode engine reads a prompt
+ * itself while these are busy, see {@link PromptReader}.
  *
  * @author banyanstile contributors
  */
@@ -23,17 +23,10 @@
 
 	/**
 	 * Share of engines that read prompts. With 100 ms to read a prompt and four seconds
-	 * in a memory that holds ten requests, reading takes 1/5 of both.
+	 * in a memory that holds ten requests, reading takes a fifth of both; what an eighth
+	 * of the engines cannot read, the decode engines do.
 	 */
-	static final double PREFILL_SHARE = 0.2;
-
-	/**
-	 * Engines that read prompts in a service of {@link #SMALL} engines or more. A single
-	 * one has no reserve for bursts, and its loss stops all reading.
-	 */
-	static final int MIN_PREFILL = 2;
-
-	static final int SMALL = 4;
+	static final double PREFILL_SHARE = 0.125;
 
 	/**
 	 * Orders in one round. An engine is out of service for some seconds while it changes,
@@ -50,11 +43,7 @@
 	 * @return the number
 	 */
 	public static int prefillTarget(int engines) {
-		if (engines < 2) {
-			return 0;
-		}
-		int least = (engines >= SMALL) ? MIN_PREFILL : 1;
-		return Math.max(least, (int) Math.ceil(PREFILL_SHARE * engines));
+		return (engines < 2) ? 0 : (int) Math.ceil(PREFILL_SHARE * engines);
 	}
 
 	/**
--- a/server/src/main/java/org/banyanstile/server/router/DecodePlaces.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodePlaces.java
@@ -45,14 +45,6 @@
 	 */
 	private static final long LATE_WAIT_MILLIS = 2000;
 
-	/**
-	 * Ratio of the expected final sizes of an engine's requests to its memory. A running
-	 * request has on average made half of its output, which is a fifth of its size. An
-	 * engine's reservation covers only the first seconds, so without this bound running
-	 * requests outgrow the memory and are preempted, and their prompts are read again.
-	 */
-	private static final double OVERCOMMIT = 1.1;
-
 	private static final int BLOCK_TOKENS = 16;
 
 	private final RouterServices services;
@@ -140,7 +132,10 @@
 				break;
 			}
 			long used = this.services.loads().total(engine.id()).tokens();
-			if (used > 0 && used + this.tokens > OVERCOMMIT * this.traits.memoryTokens()) {
+			// A reservation covers only the first seconds, so without this bound running
+			// requests outgrow the memory and are preempted, and their prompts are read
+			// again.
+			if (used > 0 && used + this.tokens > this.traits.memoryTokens()) {
 				break;
 			}
 			if (!this.services.mayTakeCold(engine)) {
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -10,6 +10,7 @@
 import org.banyanstile.core.catalog.EndpointPhase;
 import org.banyanstile.core.catalog.EngineTraits;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.banyanstile.core.placement.PromptReader;
 import org.banyanstile.io.http.HttpException;
 import org.banyanstile.io.http.HttpResponse;
 import org.banyanstile.io.http.ResponseTimeoutException;
@@ -48,12 +49,6 @@
 	 */
 	private static final long PREFILL_MILLIS = 2500;
 
-	/**
-	 * Tokens that wait at the idlest prefill engine above which the decode engine reads
-	 * the prompt itself, at half the speed. Reading these takes some 400 ms.
-	 */
-	private static final long MAX_BACKLOG_TOKENS = 13_000;
-
 	/**
 	 * Silence after which a stream that may be resumed goes on elsewhere, if another
 	 * engine has memory for it. Events of a sound engine are 50 to 90 ms apart, and
@@ -279,7 +274,8 @@
 			List<RegisteredEndpoint> engines = this.services.engines(this.call.service(), EndpointPhase.PREFILL);
 			RegisteredEndpoint engine = this.services.picker()
 				.leastTokens(engines, tried, place.engine().dataCentre(), System.nanoTime());
-			if (engine == null || this.services.loads().total(engine.id()).tokens() > MAX_BACKLOG_TOKENS) {
+			if (engine == null || !PromptReader.isReadApart(this.call.fields().promptTokens(),
+					this.services.loads().total(engine.id()).tokens())) {
 				return null;
 			}
 			tried.add(engine.id());
