--- a/server/src/main/java/org/banyanstile/server/router/CallerResponse.java
+++ b/server/src/main/java/org/banyanstile/server/router/CallerResponse.java
@@ -59,6 +59,11 @@
 				this.exchange.getResponseHeaders().add(new HttpString(header.getKey()), header.getValue());
 			}
 		}
+		if (!this.exchange.getResponseHeaders().contains(Headers.CONTENT_LENGTH) && this.exchange.isHttp11()) {
+			// Without it a body on a connection that will close has no end of its own, so
+			// one that breaks off looks complete.
+			this.exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+		}
 		open();
 	}
 
