--- a/benchmark/src/main/java/org/banyanstile/benchmark/SlopeMain.java
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/SlopeMain.java
@@ -20,6 +20,7 @@
 		LimitSlopes.run(table);
 		PoolSlopes.run(table);
 		FleetSlopes.run(table);
+		GossipSlopes.run(table);
 	}
 
 }
