Tell eight VMs in a round again, in turn, and count silence by the size of the fleet

Ruled out: going back to a random choice, with which a VM can be silent for several times the mean.

Change: eight VMs in a round at any size, in turn; one of them gets the list of members, so each VM hears four lists a second. SharedQuota counts a VM as silent a tenth after its turn should have come, which is 1 s up to 24 other VMs and 2.2 s for 58.

--- a/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
+++ b/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
@@ -16,11 +16,17 @@
 public final class SharedQuota {
 
 	/**
-	 * Time without a report after which use is assumed. Four rounds of 250 ms between
-	 * VMs.
+	 * Time without a report after which use is assumed in a fleet whose VMs hear each
+	 * other at least this often. Four rounds of 250 ms between VMs.
 	 */
 	static final long SILENT_NANOS = 1_000_000_000L;
 
+	/**
+	 * Time without a report for each VM of a larger fleet: eight VMs report in a round of
+	 * 250 ms, and a tenth more.
+	 */
+	static final long SILENT_NANOS_PER_VM = 34_375_000L;
+
 	/**
 	 * Largest part of the bucket that a small request takes.
 	 */
@@ -130,7 +136,7 @@
 		refill(now);
 		this.peers.keySet().retainAll(vms);
 		for (String vm : vms) {
-			this.peers.computeIfAbsent(vm, (name) -> Peer.unheard(now - SILENT_NANOS));
+			this.peers.computeIfAbsent(vm, (name) -> Peer.unheard(now - silentNanos(vms.size())));
 		}
 	}
 
@@ -154,13 +160,23 @@
 		peer.heard = now;
 	}
 
+	/**
+	 * Returns the time without a report after which the use of a VM is assumed.
+	 * @param peers number of other VMs
+	 * @return the time in nanoseconds
+	 */
+	public static long silentNanos(int peers) {
+		return Math.max(SILENT_NANOS, SILENT_NANOS_PER_VM * ((peers + 7) / 8 * 8));
+	}
+
 	private void refill(long now) {
+		long silence = silentNanos(this.peers.size());
 		double seconds = Math.max(0, now - this.at) / NANOS;
 		double share = this.rate / (this.peers.size() + 1);
 		int silentPeers = 0;
 		for (Peer peer : this.peers.values()) {
-			silentPeers += (now - peer.heard > SILENT_NANOS) ? 1 : 0;
-			long silentSince = peer.heard + SILENT_NANOS;
+			silentPeers += (now - peer.heard > silence) ? 1 : 0;
+			long silentSince = peer.heard + silence;
 			double silent = Math.min(Math.max(0, now - silentSince) / NANOS, seconds);
 			peer.assumed += silent * share;
 			this.level -= silent * share;
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -38,15 +38,10 @@
 	private static final long ROUND_MILLIS = 250;
 
 	/**
-	 * VMs of a small fleet. They get the list of all members in one round of
-	 * {@link #MEMBER_ROUNDS}, those of a larger fleet in turn.
-	 */
-	private static final int SMALL_FLEET = 8;
-
-	/**
-	 * Rounds from one list of all members to the next. VMs hear each other directly, so
-	 * the list, which grows with the fleet, serves new VMs and those that only some can
-	 * reach. Two of them pass before such a VM counts as dead.
+	 * Rounds from one list of all members to the next in a fleet whose VMs all hear each
+	 * other in each round. Two lists pass before a VM that only some can reach counts as
+	 * dead. In a larger fleet one VM in each round gets the list, so each hears four
+	 * lists a second.
 	 */
 	private static final int MEMBER_ROUNDS = 4;
 
@@ -168,9 +163,10 @@
 		try {
 			this.view.tick();
 			this.membership.beat(this.local.memberState());
-			List<String> targets = this.rotation.next(allAddresses());
-			boolean small = targets.size() <= SMALL_FLEET;
-			int listed = small ? 0 : targets.size() / SMALL_FLEET;
+			Set<String> all = allAddresses();
+			List<String> targets = this.rotation.next(all);
+			boolean small = targets.size() == all.size();
+			int listed = small ? 0 : 1;
 			Collections.shuffle(targets, this.random);
 			send(targets.subList(0, listed), true);
 			send(targets.subList(listed, targets.size()), small && this.membership.self().beat() % MEMBER_ROUNDS == 0);
--- a/server/src/main/java/org/banyanstile/server/gossip/PeerRotation.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/PeerRotation.java
@@ -9,24 +9,19 @@
 
 /**
  * Chooses the VMs that hear this VM in a round, in turn, so that each hears it at an even
- * pace: in every round in a small fleet, in each second one up to 64 VMs. A random choice
- * leaves some VMs without word for several times the mean. Not safe for use by several
- * threads.
+ * pace: in every round in a small fleet, each two seconds in one of 64 VMs. A random
+ * choice leaves some VMs without word for several times the mean. Not safe for use by
+ * several threads.
  *
  * @author banyanstile contributors
  */
 final class PeerRotation {
 
 	/**
-	 * VMs in a round at least, of a fleet that has so many.
+	 * VMs in a round. With four rounds a second a VM sends and receives 32 datagrams a
+	 * second, whatever the size of the fleet.
 	 */
-	static final int LEAST = 8;
-
-	/**
-	 * VMs in a round at most. With four rounds a second and some 600 bytes each, a VM
-	 * sends about 77 KB a second.
-	 */
-	static final int MOST = 32;
+	static final int PER_ROUND = 8;
 
 	private @Nullable String last;
 
@@ -37,7 +32,7 @@
 	 */
 	List<String> next(Collection<String> addresses) {
 		TreeSet<String> ordered = new TreeSet<>(addresses);
-		int size = Math.min(ordered.size(), Math.min(MOST, Math.max(LEAST, (ordered.size() + 1) / 2)));
+		int size = Math.min(ordered.size(), PER_ROUND);
 		List<String> due = new ArrayList<>((this.last != null) ? ordered.tailSet(this.last, false) : ordered);
 		if (due.size() < size) {
 			ordered.removeAll(due);
