Log the parts of prompts and whether a broken stream had begun

Cause: the logs could not tell whether requests with a part crash engines or whether streams that fail over carry the fault with them: they named neither the parts of a prompt nor whether a broken attempt had produced an event.

Change: the adapter decodes the parts of a prompt but its last; `accepted` lines name the first eight. An attempt that broke before its first event has an outcome of its own, in the log and in the metric.

--- a/server/src/main/java/org/banyanstile/server/router/CallAttempts.java
+++ b/server/src/main/java/org/banyanstile/server/router/CallAttempts.java
@@ -118,4 +118,14 @@
 					this.runs, "outcome", outcome, "reason", reason, "ageMillis", this.call.ageMillis());
 	}
 
+	/**
+	 * Logs and counts a stream that broke.
+	 * @param endpoint the endpoint
+	 * @param reason why it broke
+	 * @param events number of events of this attempt that had arrived
+	 */
+	void logBrokenStream(RegisteredEndpoint endpoint, String reason, int events) {
+		log(endpoint, (events == 0) ? "broken before an event" : "broken", reason);
+	}
+
 }
--- a/server/src/main/java/org/banyanstile/server/router/CallerFields.java
+++ b/server/src/main/java/org/banyanstile/server/router/CallerFields.java
@@ -1,5 +1,7 @@
 package org.banyanstile.server.router;
 
+import java.util.List;
+
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -13,10 +15,12 @@
  * @param expectedOutputTokens the caller's estimate of the generated tokens, -1 if absent
  * @param lastEventId id of the event after which a stream is resumed, {@code null} if
  * absent
+ * @param sharedParts ids of the parts of the prompt that other prompts may have as well,
+ * in order; the last part of a prompt is not among them
  * @author banyanstile contributors
  */
 public record CallerFields(@Nullable String attemptId, long deadlineMillis, @Nullable String apiKey, long promptTokens,
-		long maxOutputTokens, long expectedOutputTokens, @Nullable String lastEventId) {
+		long maxOutputTokens, long expectedOutputTokens, @Nullable String lastEventId, List<String> sharedParts) {
 
 	/**
 	 * Returns whether the request has token counts.
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -278,6 +278,7 @@
 				this.splitter.lastEventId());
 		boolean resumable = this.call.route().resumable();
 		Duration responseTimeout = Duration.ofMillis(Math.max(1, this.call.remainingMillis()));
+		int earlierEvents = this.splitter.eventCount();
 		beginPrefillAtDecodeEngine(engine, offered == null);
 		try (HttpResponse response = this.services.client()
 			.send(this.call, engine, fields, MAX_POOLED_IDLE, responseTimeout)) {
@@ -301,7 +302,8 @@
 			if (!this.call.isCancelledOrTimedOut()) {
 				this.services.health().unreachable(engine.id(), System.nanoTime());
 			}
-			this.attempts.log(engine, "broken", String.valueOf(ex.getMessage()));
+			this.attempts.logBrokenStream(engine, String.valueOf(ex.getMessage()),
+					this.splitter.eventCount() - earlierEvents);
 			return false;
 		}
 		finally {
--- a/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
+++ b/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
@@ -61,6 +61,11 @@
 	 */
 	private static final long MAX_QUOTA_WAIT_NANOS = 150_000_000L;
 
+	/**
+	 * Limits the length of a log line, since a caller chooses the number of parts.
+	 */
+	private static final int MAX_LOGGED_PARTS = 8;
+
 	private final RouterServices services;
 
 	private final TeamQuotas quotas;
@@ -227,7 +232,8 @@
 		this.services.countRequest(name);
 		this.services.log()
 			.request("accepted", call.id(), "route", route.name(), "service", name, "team", call.team(), "version",
-					catalog.version(), "tokens", tokens, "deadlineMillis", fields.deadlineMillis());
+					catalog.version(), "tokens", tokens, "deadlineMillis", fields.deadlineMillis(), "parts",
+					loggedParts(fields));
 		this.calls.add(call);
 		try {
 			run(call, service);
@@ -248,6 +254,11 @@
 		}
 	}
 
+	private static String loggedParts(CallerFields fields) {
+		return String.join(",",
+				fields.sharedParts().subList(0, Math.min(MAX_LOGGED_PARTS, fields.sharedParts().size())));
+	}
+
 	private void run(RouterCall call, ServedService service) throws RejectionException, IOException {
 		EngineTraits engine = service.engine();
 		if (engine != null) {
