Refuse requests that crash the engines that run them

Cause: what a crash shows was used for one request and dropped. A request whose engine broke before its first event went to the next engine, and the next request with the same prompt part to four more.

Evidence: at each of 30 crashes a request with the same two parts was running without an event; no stream that had begun had either part.

Change: CrashQuarantine keeps, for each prompt part but the last and for each whole request, the crashes without an answer since the last answer, and VMs pass this on by gossip, bounded in memory and bytes. After three crashes such requests are refused with 503 before they reach an endpoint; trials are rare, one at a time, and an answer ends the quarantine on all VMs. It works because only requests without an event are evidence, answers clear what is sound, and the verdict does not depend on one VM.

--- a/benchmark/src/main/java/org/banyanstile/benchmark/GossipSlopes.java
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/GossipSlopes.java
@@ -50,8 +50,8 @@
 		List<GossipUse> uses = IntStream.range(0, TEAMS)
 			.mapToObj((i) -> new GossipUse("team" + i, 1_000_000L + i))
 			.toList();
-		return new GossipState(member(0, heartbeat), members, loads, uses, List.of(), List.of(1000L, 2000L),
-				List.of(50_000_000L, 50_000_000L), false);
+		return new GossipState(member(0, heartbeat), members, loads, uses, List.of(), List.of(), List.of(),
+				List.of(1000L, 2000L), List.of(50_000_000L, 50_000_000L), false);
 	}
 
 	private static void datagrams(SlopeTable table, int vms) {
--- a/core/src/main/java/org/banyanstile/core/catalog/RegisteredEndpoint.java
+++ b/core/src/main/java/org/banyanstile/core/catalog/RegisteredEndpoint.java
@@ -11,9 +11,11 @@
  * @param ready whether it takes new work; {@code false} while it drains
  * @param capacity number of requests that it runs at once
  * @param coldMillis remaining time of its cold start when it wrote the registration
+ * @param startMillis time of its start in milliseconds since 1970, 0 if not given; an
+ * endpoint can start again with the same id
  * @author banyanstile contributors
  */
 public record RegisteredEndpoint(String id, String service, String address, String dataCentre, EndpointRole role,
-		boolean ready, int capacity, long coldMillis) {
+		boolean ready, int capacity, long coldMillis, long startMillis) {
 
 }
--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/quarantine/CrashQuarantine.java
@@ -0,0 +1,320 @@
+package org.banyanstile.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * Finds the traits of requests that crash the endpoints that run them, and refuses
+ * requests that have such a trait. It answers the load in which each of these requests is
+ * a new one and shares only a part of its prompt with the others.
+ * <p>
+ * A request that was at an endpoint without an answer when the endpoint crashed makes its
+ * traits suspects. An answer to a request clears all its traits. A trait that was present
+ * at several crashes and in no answer since is quarantined. If another quarantined part
+ * of prompts was present at the same crashes, a request that has only one of the two is a
+ * trial, as is the first request after a pause. Trials of different VMs are spread over
+ * time, so that usually the result of one is known to the others before theirs.
+ * <p>
+ * VMs exchange {@linkplain CrashEvidence evidence} and pass it on. Merging is idempotent,
+ * commutative and associative. Safe for use by several threads.
+ *
+ * @author banyanstile contributors
+ */
+public final class CrashQuarantine {
+
+	/**
+	 * Crashes without an answer after which a trait is quarantined. One or two can be
+	 * coincidence when several endpoints crash at the same time.
+	 */
+	static final int QUARANTINE_CRASHES = 3;
+
+	/**
+	 * Crashes without an answer after which there is no trial until the trait is
+	 * forgotten.
+	 */
+	static final int MAX_CRASHES = 5;
+
+	/**
+	 * Time after which a trait is forgotten if no endpoint crashed and no request with
+	 * the trait was refused.
+	 */
+	static final long FORGET_NANOS = TimeUnit.HOURS.toNanos(1);
+
+	/**
+	 * Pause before a trial after the number of crashes that begins a quarantine. Longer
+	 * than a crashed endpoint takes to return.
+	 */
+	static final long FIRST_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+	static final long SECOND_PAUSE_NANOS = TimeUnit.MINUTES.toNanos(1);
+
+	/**
+	 * Pause before a trial of a trait if another one can be the cause of its crashes. The
+	 * evidence reaches all VMs within it.
+	 */
+	static final long EXPLAINED_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	/**
+	 * Mean time between the first trials of two VMs. One gossip round.
+	 */
+	static final long TRIAL_SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+	/**
+	 * Time after which a request that is refused because of a running trial may return.
+	 */
+	private static final long TRIAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	/**
+	 * Interval at which refusals prolong a quarantine, so that a flood of refused
+	 * requests does not become a flood of messages.
+	 */
+	static final long REFUSAL_INTERVAL_NANOS = TimeUnit.MINUTES.toNanos(2);
+
+	/**
+	 * Time for which changed evidence is sent in each gossip round. Twelve rounds.
+	 */
+	static final long RECENT_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+	static final int MAX_SUSPICIONS = 256;
+
+	/**
+	 * Largest number of traits in a message to another VM, at most some 70 bytes each.
+	 */
+	static final int MAX_REPORTED = 16;
+
+	static final int MAX_REPORTED_OLDER = 4;
+
+	/**
+	 * Traits of a request that a crash makes suspects. A caller chooses the number of
+	 * parts of a prompt.
+	 */
+	static final int MAX_TRAITS_PER_CRASH = 32;
+
+	private final RandomGenerator random;
+
+	private final Map<Long, Suspicion> suspicions = new HashMap<>();
+
+	private final AnsweredTraits answered = new AnsweredTraits();
+
+	private int reportOffset;
+
+	private CrashQuarantine(RandomGenerator random) {
+		this.random = random;
+	}
+
+	/**
+	 * Creates a quarantine without evidence.
+	 * @param random source of random numbers
+	 * @return the quarantine
+	 */
+	public static CrashQuarantine create(RandomGenerator random) {
+		return new CrashQuarantine(random);
+	}
+
+	/**
+	 * Returns the pause after a crash until a trial.
+	 * @param crashes number of crashes without an answer
+	 * @param explained whether another trait can be the cause
+	 * @return the pause in nanoseconds
+	 */
+	static long pauseNanos(int crashes, boolean explained) {
+		if (explained) {
+			return EXPLAINED_PAUSE_NANOS;
+		}
+		if (crashes >= MAX_CRASHES) {
+			return FORGET_NANOS;
+		}
+		return (crashes > QUARANTINE_CRASHES) ? SECOND_PAUSE_NANOS : FIRST_PAUSE_NANOS;
+	}
+
+	/**
+	 * Decides whether a request may be sent to an endpoint. The request may have to hold
+	 * a trial for it until {@link #end(Object)}.
+	 * @param call identity of the request
+	 * @param traits its traits
+	 * @param vms number of VMs, this one included
+	 * @param now the current time in nanoseconds
+	 * @return 0 if it may be sent, else the time in nanoseconds after which it is worth a
+	 * retry
+	 */
+	public synchronized long refusedNanos(Object call, Collection<Long> traits, int vms, long now) {
+		List<Suspicion> quarantined = new ArrayList<>();
+		long wait = 0;
+		for (long trait : traits) {
+			Suspicion suspicion = this.suspicions.get(trait);
+			if (suspicion == null || !suspicion.isQuarantined() || suspicion.isTrialOf(call)) {
+				continue;
+			}
+			quarantined.add(suspicion);
+			wait = Math.max(wait, suspicion.trialFrom(isExplained(suspicion, traits), vms) - now);
+			if (!suspicion.isTrialFreeFor(call)) {
+				wait = Math.max(wait, TRIAL_NANOS);
+			}
+		}
+		for (Suspicion suspicion : quarantined) {
+			if (wait <= 0) {
+				suspicion.beginTrial(call);
+			}
+			else if (now - suspicion.activeAt() >= REFUSAL_INTERVAL_NANOS) {
+				suspicion.refused(now);
+				suspicion.changed(this.random.nextDouble(), now);
+			}
+		}
+		return Math.max(0, wait);
+	}
+
+	// Another trait explains the crashes only for a request that does not have it.
+	private boolean isExplained(Suspicion suspicion, Collection<Long> traits) {
+		for (Map.Entry<Long, Suspicion> other : this.suspicions.entrySet()) {
+			if (!traits.contains(other.getKey()) && suspicion.isExplainedBy(other.getValue())) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	/**
+	 * Ends the trials that a request holds.
+	 * @param call identity of the request
+	 */
+	public synchronized void end(Object call) {
+		this.suspicions.values().forEach((suspicion) -> suspicion.endTrial(call));
+	}
+
+	/**
+	 * Returns whether there is no evidence, so that no request is refused.
+	 * @return whether there is none
+	 */
+	public synchronized boolean isEmpty() {
+		return this.suspicions.isEmpty();
+	}
+
+	/**
+	 * Records that an endpoint crashed before it answered a request. It ends the trials
+	 * that the request holds.
+	 * @param call identity of the request
+	 * @param traits traits of the request
+	 * @param crash hash of the incarnation of the endpoint
+	 * @param now the current time in nanoseconds
+	 * @return the traits that this crash puts into quarantine
+	 */
+	public synchronized List<Long> crashed(Object call, Collection<Long> traits, long crash, long now) {
+		end(call);
+		List<Long> suspects = traits.stream()
+			.filter((trait) -> !this.answered.contains(trait))
+			.limit(MAX_TRAITS_PER_CRASH)
+			.toList();
+		if (suspects.isEmpty()) {
+			suspects = traits.stream().limit(MAX_TRAITS_PER_CRASH).toList();
+		}
+		List<Long> quarantined = new ArrayList<>();
+		for (long trait : suspects) {
+			Suspicion suspicion = this.suspicions.get(trait);
+			if (suspicion == null) {
+				suspicion = add(trait, new Suspicion(trait, now, now), now);
+			}
+			boolean wasQuarantined = suspicion.isQuarantined();
+			if (suspicion.addCrash(crash, now)) {
+				suspicion.changed(this.random.nextDouble(), now);
+			}
+			if (suspicion.isQuarantined() && !wasQuarantined) {
+				this.answered.remove(trait);
+				quarantined.add(trait);
+			}
+		}
+		return quarantined;
+	}
+
+	/**
+	 * Records that an endpoint answered a request or began to do so, which clears the
+	 * traits of the request.
+	 * @param traits traits of the request
+	 * @param now the current time in nanoseconds
+	 */
+	public synchronized void answered(Collection<Long> traits, long now) {
+		for (long trait : traits) {
+			this.answered.add(trait);
+			Suspicion suspicion = this.suspicions.get(trait);
+			if (suspicion != null && suspicion.crashCount() > 0) {
+				suspicion.clear(suspicion.clearances() + 1, now);
+				suspicion.changed(this.random.nextDouble(), now);
+			}
+		}
+	}
+
+	private Suspicion add(long trait, Suspicion suspicion, long now) {
+		this.suspicions.values().removeIf((known) -> now - known.activeAt() >= FORGET_NANOS);
+		if (this.suspicions.size() >= MAX_SUSPICIONS) {
+			this.suspicions.entrySet()
+				.stream()
+				.min(Comparator.<Map.Entry<Long, Suspicion>>comparingInt((entry) -> entry.getValue().crashCount())
+					.thenComparingLong((entry) -> entry.getValue().activeAt() - now))
+				.map(Map.Entry::getKey)
+				.ifPresent(this.suspicions::remove);
+		}
+		this.suspicions.put(trait, suspicion);
+		return suspicion;
+	}
+
+	/**
+	 * Returns the evidence to send to other VMs: what changed last, and some of the
+	 * quarantined traits in turn, for VMs that missed a change or have just started.
+	 * @param now the current time in nanoseconds
+	 * @return at most {@link #MAX_REPORTED} records
+	 */
+	public synchronized List<CrashEvidence> reports(long now) {
+		List<Suspicion> recent = new ArrayList<>();
+		List<Suspicion> older = new ArrayList<>();
+		for (Suspicion suspicion : this.suspicions.values()) {
+			if (suspicion.isRecent(now)) {
+				recent.add(suspicion);
+			}
+			else if (suspicion.isQuarantined()) {
+				older.add(suspicion);
+			}
+		}
+		recent.sort(Comparator.comparingInt(Suspicion::crashCount).reversed());
+		int reportedOlder = Math.min(MAX_REPORTED_OLDER, older.size());
+		List<CrashEvidence> reports = new ArrayList<>();
+		recent.stream().limit(MAX_REPORTED - reportedOlder).forEach((suspicion) -> reports.add(suspicion.report(now)));
+		for (int i = 0; i < reportedOlder; i++) {
+			reports.add(older.get(Math.floorMod(this.reportOffset++, older.size())).report(now));
+		}
+		return reports;
+	}
+
+	/**
+	 * Merges the evidence of another VM.
+	 * @param reports the evidence
+	 * @param now the current time in nanoseconds
+	 * @return the traits that this evidence puts into quarantine
+	 */
+	public synchronized List<Long> merge(List<CrashEvidence> reports, long now) {
+		List<Long> quarantined = new ArrayList<>();
+		for (CrashEvidence report : reports.subList(0, Math.min(MAX_REPORTED, reports.size()))) {
+			if (report.activeAgeMillis() >= TimeUnit.NANOSECONDS.toMillis(FORGET_NANOS)) {
+				continue;
+			}
+			Suspicion suspicion = this.suspicions.get(report.trait());
+			if (suspicion == null) {
+				suspicion = add(report.trait(), Suspicion.of(report, now), now);
+			}
+			boolean wasQuarantined = suspicion.isQuarantined();
+			if (suspicion.merge(report, now)) {
+				suspicion.changed(this.random.nextDouble(), now);
+			}
+			if (suspicion.isQuarantined() && !wasQuarantined) {
+				this.answered.remove(report.trait());
+				quarantined.add(report.trait());
+			}
+		}
+		return quarantined;
+	}
+
+}
--- a/server/src/main/java/org/banyanstile/server/caller/Hashes.java
+++ b/server/src/main/java/org/banyanstile/server/caller/Hashes.java
@@ -23,13 +23,22 @@
 	 * @return the hash in hexadecimal
 	 */
 	public static String sha256(byte[]... parts) {
+		return HexFormat.of().formatHex(sha256Bytes(parts));
+	}
+
+	/**
+	 * Returns the SHA-256 hash of the parts, as {@link #sha256(byte[]...)} does.
+	 * @param parts the parts
+	 * @return the 32 bytes of the hash
+	 */
+	public static byte[] sha256Bytes(byte[]... parts) {
 		try {
 			MessageDigest digest = MessageDigest.getInstance("SHA-256");
 			for (byte[] part : parts) {
 				digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.length).array());
 				digest.update(part);
 			}
-			return HexFormat.of().formatHex(digest.digest());
+			return digest.digest();
 		}
 		catch (NoSuchAlgorithmException ex) {
 			throw new IllegalStateException("this Java runtime has no SHA-256", ex);
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -138,6 +138,7 @@
 			.registerNested(GossipLoad.class)
 			.registerNested(GossipUse.class)
 			.registerNested(GossipRoleChange.class)
+			.registerNested(GossipCrashes.class)
 			.registerNested(GossipRow.class)
 			.register(GossipRows.class)
 			.register(GossipState.class);
@@ -225,7 +226,7 @@
 		}
 		List<GossipMember> peers = withMembers ? this.membership.alivePeers(this.ticker.nanos()) : List.of();
 		return new GossipState(this.membership.self(), peers, this.local.loads(), this.local.uses(),
-				this.local.roleChanges(), versions, millis, reply);
+				this.local.roleChanges(), this.local.crashes(), versions, millis, reply);
 	}
 
 	private void send(ByteBuffer datagram, SocketAddress target) {
@@ -370,6 +371,12 @@
 		 */
 		List<GossipRoleChange> roleChanges();
 
+		/**
+		 * Returns the evidence against requests that crash endpoints.
+		 * @return some of the evidence of this VM
+		 */
+		List<GossipCrashes> crashes();
+
 		/**
 		 * Receives the state of another VM.
 		 * @param state the state
--- a/server/src/main/java/org/banyanstile/server/router/CallerFields.java
+++ b/server/src/main/java/org/banyanstile/server/router/CallerFields.java
@@ -10,6 +10,7 @@
  * @param attemptId id that the caller gave to this attempt, {@code null} if absent
  * @param deadlineMillis how long the caller waits for the response, -1 if absent
  * @param apiKey API key, {@code null} if absent
+ * @param model name of the model, {@code null} if absent
  * @param promptTokens tokens of the prompt, -1 if absent
  * @param maxOutputTokens maximum number of generated tokens, -1 if absent
  * @param expectedOutputTokens the caller's estimate of the generated tokens, -1 if absent
@@ -19,8 +20,9 @@
  * in order; the last part of a prompt is not among them
  * @author banyanstile contributors
  */
-public record CallerFields(@Nullable String attemptId, long deadlineMillis, @Nullable String apiKey, long promptTokens,
-		long maxOutputTokens, long expectedOutputTokens, @Nullable String lastEventId, List<String> sharedParts) {
+public record CallerFields(@Nullable String attemptId, long deadlineMillis, @Nullable String apiKey,
+		@Nullable String model, long promptTokens, long maxOutputTokens, long expectedOutputTokens,
+		@Nullable String lastEventId, List<String> sharedParts) {
 
 	/**
 	 * Returns whether the request has token counts.
--- a/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
+++ b/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
@@ -70,7 +70,7 @@
 			if (!call.isCancelledOrTimedOut()) {
 				this.health.unreachable(endpoint.id(), now);
 			}
-			throw new UnknownOutcomeException(String.valueOf(ex.getMessage()));
+			throw UnknownOutcomeException.of(ex);
 		}
 	}
 
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -78,6 +78,8 @@
 
 	private final CallAttempts attempts;
 
+	private final CrashGuard crashGuard;
+
 	private final PromptPrefill promptPrefill;
 
 	/**
@@ -106,7 +108,8 @@
 		this.call = call;
 		this.traits = traits;
 		this.attempts = new CallAttempts(services, call);
-		this.promptPrefill = new PromptPrefill(services, call, this.attempts);
+		this.crashGuard = new CrashGuard(services, call);
+		this.promptPrefill = new PromptPrefill(services, call, this.attempts, this.crashGuard);
 	}
 
 	static GenerationRun create(RouterServices services, RouterCall call, EngineTraits traits) {
@@ -127,6 +130,7 @@
 			run();
 		}
 		finally {
+			this.crashGuard.close();
 			discardPrompt();
 			if (this.failoverReservation != null) {
 				releaseReservation(this.failoverReservation);
@@ -137,6 +141,10 @@
 	private void run() throws RejectionException, IOException {
 		String reason = "no engine accepted the request before its deadline";
 		while (!this.call.isCancelledOrTimedOut()) {
+			double refusedSeconds = this.crashGuard.refusedSeconds();
+			if (refusedSeconds > 0) {
+				throw this.crashGuard.rejection(this.attempts, refusedSeconds);
+			}
 			DecodeReservation reservation = nextReservation();
 			if (reservation == null) {
 				reason = "the retry budget is exhausted";
@@ -161,6 +169,9 @@
 				// The engine may have taken over the prefilled prompt.
 				this.promptRefusals = MAX_PROMPT_REFUSALS;
 				this.attempts.recordUnknownOutcome(reservation.engine(), ex);
+				if (ex.isConnectionBroken()) {
+					this.crashGuard.connectionBroken(reservation.engine());
+				}
 				if (!this.attempts.mayRetryAfterRun()) {
 					break;
 				}
@@ -218,6 +229,9 @@
 				throw NotRunException
 					.notSent("the caller disconnected or the deadline passed before the request was sent");
 			}
+			if (this.crashGuard.isRefused()) {
+				throw NotRunException.notSent("engines crashed under requests that share a trait with this one");
+			}
 			if (!this.services.isUsableInCurrentRole(reservation.engine())) {
 				throw NotRunException.notSent("engine " + reservation.engine().id()
 						+ " became unavailable or began to change its role before the request was sent");
@@ -302,6 +316,9 @@
 			if (!this.call.isCancelledOrTimedOut()) {
 				this.services.health().unreachable(engine.id(), System.nanoTime());
 			}
+			if (ex instanceof ConnectionBrokenException) {
+				this.crashGuard.connectionBroken(engine);
+			}
 			this.attempts.logBrokenStream(engine, String.valueOf(ex.getMessage()),
 					this.splitter.eventCount() - earlierEvents);
 			return false;
@@ -348,6 +365,7 @@
 			return false;
 		}
 		if (earlierEvents == 0) {
+			this.crashGuard.answered();
 			this.services.metrics().firstEvent(this.call.route().kind().name(), this.call.ageMillis());
 		}
 		endPrefillAtDecodeEngine();
--- a/server/src/main/java/org/banyanstile/server/router/PlainRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/PlainRun.java
@@ -46,12 +46,15 @@
 
 	private final CallAttempts attempts;
 
+	private final CrashGuard crashGuard;
+
 	private final Set<String> tried = new HashSet<>();
 
 	private PlainRun(RouterServices services, RouterCall call) {
 		this.services = services;
 		this.call = call;
 		this.attempts = new CallAttempts(services, call);
+		this.crashGuard = new CrashGuard(services, call);
 	}
 
 	static PlainRun create(RouterServices services, RouterCall call) {
@@ -59,9 +62,19 @@
 	}
 
 	void serve() throws RejectionException, IOException {
+		try (this.crashGuard) {
+			run();
+		}
+	}
+
+	private void run() throws RejectionException, IOException {
 		BufferedResponse failure = null;
 		String reason = "";
 		while (!this.call.isCancelledOrTimedOut()) {
+			double refusedSeconds = this.crashGuard.refusedSeconds();
+			if (refusedSeconds > 0) {
+				throw this.crashGuard.rejection(this.attempts, refusedSeconds);
+			}
 			RegisteredEndpoint endpoint = pickEndpoint();
 			if (endpoint == null) {
 				reason = "no endpoint of the service is available";
@@ -73,6 +86,7 @@
 			}
 			try {
 				BufferedResponse buffered = attempt(endpoint);
+				this.crashGuard.answered();
 				if (!shouldRetry(buffered)) {
 					send(buffered);
 					return;
@@ -86,6 +100,9 @@
 			catch (UnknownOutcomeException ex) {
 				reason = String.valueOf(ex.getMessage());
 				this.attempts.recordUnknownOutcome(endpoint, ex);
+				if (ex.isConnectionBroken()) {
+					this.crashGuard.connectionBroken(endpoint);
+				}
 				if (!this.attempts.mayRetryAfterRun()) {
 					break;
 				}
@@ -151,7 +168,7 @@
 			if (!this.call.isCancelledOrTimedOut()) {
 				this.services.health().unreachable(endpoint.id(), System.nanoTime());
 			}
-			throw new UnknownOutcomeException("response broke before its end: " + ex.getMessage());
+			throw UnknownOutcomeException.of(ex);
 		}
 		finally {
 			this.call.callHandle().end();
--- a/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
+++ b/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
@@ -40,10 +40,13 @@
 
 	private final CallAttempts attempts;
 
-	PromptPrefill(RouterServices services, RouterCall call, CallAttempts attempts) {
+	private final CrashGuard crashGuard;
+
+	PromptPrefill(RouterServices services, RouterCall call, CallAttempts attempts, CrashGuard crashGuard) {
 		this.services = services;
 		this.call = call;
 		this.attempts = attempts;
+		this.crashGuard = crashGuard;
 	}
 
 	/**
@@ -55,7 +58,8 @@
 	PrefilledPrompt prefill(DecodeReservation reservation) {
 		Set<String> tried = new HashSet<>();
 		boolean retry = this.attempts.hasReachedEndpoint();
-		for (int i = 0; i < MAX_PREFILL_ATTEMPTS && !this.call.isCancelledOrTimedOut(); i++) {
+		for (int i = 0; i < MAX_PREFILL_ATTEMPTS && !this.call.isCancelledOrTimedOut()
+				&& !this.crashGuard.isRefused(); i++) {
 			List<RegisteredEndpoint> engines = this.services.engines(this.call.service(), EndpointRole.PREFILL);
 			RegisteredEndpoint engine = this.services.picker()
 				.leastTokens(engines, tried, reservation.engine().dataCentre(), System.nanoTime());
@@ -77,14 +81,25 @@
 				this.services.health().refused(engine.id(), System.nanoTime());
 				this.attempts.log(engine, "prefill not run", ex.getMessage());
 			}
-			catch (UnknownOutcomeException | HttpException ex) {
+			catch (UnknownOutcomeException ex) {
+				retry = true;
+				recordLoss(engine, ex);
+			}
+			catch (HttpException ex) {
 				retry = true;
-				this.attempts.log(engine, "prefill lost", String.valueOf(ex.getMessage()));
+				recordLoss(engine, UnknownOutcomeException.of(ex));
 			}
 		}
 		return null;
 	}
 
+	private void recordLoss(RegisteredEndpoint engine, UnknownOutcomeException ex) {
+		if (ex.isConnectionBroken()) {
+			this.crashGuard.connectionBroken(engine);
+		}
+		this.attempts.log(engine, "prefill lost", ex.getMessage());
+	}
+
 	private boolean usesPrefillEngine(RegisteredEndpoint prefillEngine, RegisteredEndpoint decodeEngine) {
 		EndpointLoads loads = this.services.loads();
 		PrefillPlacement.Prompt prompt = new PrefillPlacement.Prompt(this.call.fields().promptTokens(),
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -18,7 +19,10 @@
 import org.banyanstile.core.placement.EndpointLoads;
 import org.banyanstile.core.placement.EndpointPicker;
 import org.banyanstile.core.placement.RoleChanges;
+import org.banyanstile.core.quarantine.CrashEvidence;
+import org.banyanstile.core.quarantine.CrashQuarantine;
 import org.banyanstile.io.http.HttpClient;
+import org.banyanstile.server.gossip.GossipCrashes;
 import org.banyanstile.server.gossip.GossipLoad;
 import org.banyanstile.server.gossip.GossipMember;
 import org.banyanstile.server.gossip.GossipNode;
@@ -109,11 +113,13 @@
 		TeamQuotas quotas = new TeamQuotas(ticker, settings.limitTolerance(), registration::others);
 		GracefulShutdown shutdown = GracefulShutdown.of(settings.shutdown(), ticker);
 		RoleChanges roleChanges = new RoleChanges();
-		LocalGossipState localState = new LocalGossipState(view, loads, quotas, roleChanges, shutdown, ticker);
+		CrashQuarantine quarantine = CrashQuarantine.create(new Random());
+		LocalGossipState localState = new LocalGossipState(view, loads, quotas, roleChanges, quarantine, shutdown,
+				ticker, log);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 		RouterServices services = new RouterServices(settings, view, roleChanges, platform.requests(),
 				platform.engines(), loads, health, EndpointPicker.create(loads, health, new Random()),
-				new EndpointClient(platform.client(), platform.requests(), health),
+				new EndpointClient(platform.client(), platform.requests(), health), quarantine,
 				() -> registration.others().size() + 1, log, registry);
 		RequestIntake intake = new RequestIntake(services, quotas, shutdown);
 		RouterServer server = new RouterServer(services, intake, platform.directory(),
@@ -229,18 +235,24 @@
 
 		private final RoleChanges roleChanges;
 
+		private final CrashQuarantine quarantine;
+
 		private final GracefulShutdown shutdown;
 
 		private final Ticker ticker;
 
+		private final DecisionLog log;
+
 		private LocalGossipState(FleetView view, EndpointLoads loads, TeamQuotas quotas, RoleChanges roleChanges,
-				GracefulShutdown shutdown, Ticker ticker) {
+				CrashQuarantine quarantine, GracefulShutdown shutdown, Ticker ticker, DecisionLog log) {
 			this.view = view;
 			this.loads = loads;
 			this.quotas = quotas;
 			this.roleChanges = roleChanges;
+			this.quarantine = quarantine;
 			this.shutdown = shutdown;
 			this.ticker = ticker;
+			this.log = log;
 		}
 
 		@Override
@@ -278,6 +290,15 @@
 				.toList();
 		}
 
+		@Override
+		public List<GossipCrashes> crashes() {
+			return this.quarantine.reports(this.ticker.nanos())
+				.stream()
+				.map((report) -> new GossipCrashes(report.trait(), report.clearances(), report.crashes(),
+						report.crashAgeMillis(), report.activeAgeMillis()))
+				.toList();
+		}
+
 		@Override
 		public void received(GossipState state) {
 			List<EndpointLoads.Load> reportedLoads = state.loads()
@@ -292,6 +313,15 @@
 						change.remainingMillis()))
 				.toList();
 			this.roleChanges.report(reportedChanges, this.ticker.nanos());
+			List<CrashEvidence> reportedCrashes = state.crashes()
+				.stream()
+				.map((crashes) -> new CrashEvidence(crashes.trait(), crashes.clearances(), crashes.crashes(),
+						crashes.crashAgeMillis(), crashes.activeAgeMillis()))
+				.toList();
+			for (long trait : this.quarantine.merge(reportedCrashes, this.ticker.nanos())) {
+				this.log.stateChange("quarantined", "trait", HexFormat.of().toHexDigits(trait), "reportedBy",
+						state.self().vm());
+			}
 		}
 
 	}
--- a/server/src/main/java/org/banyanstile/server/router/RouterCall.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterCall.java
@@ -107,6 +107,18 @@
 		return this.response;
 	}
 
+	byte[] body() {
+		return this.body;
+	}
+
+	/**
+	 * Returns the request target as the caller sent it.
+	 * @return path and query, byte for byte
+	 */
+	String target() {
+		return target(this.exchange);
+	}
+
 	/**
 	 * Returns the time since the request arrived.
 	 * @return the time in milliseconds
--- a/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
@@ -109,6 +109,10 @@
 		this.registry.counter("banyanstile_wasted_prompt_tokens_total").increment(tokens);
 	}
 
+	void quarantineRefusal() {
+		this.registry.counter("banyanstile_quarantine_refusals_total").increment();
+	}
+
 	void attemptOutcome(String outcome) {
 		this.registry.counter("banyanstile_endpoint_outcomes_total", "outcome", outcome).increment();
 	}
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -18,6 +18,7 @@
 import org.banyanstile.core.placement.EndpointPicker;
 import org.banyanstile.core.placement.PrefillSpeeds;
 import org.banyanstile.core.placement.RoleChanges;
+import org.banyanstile.core.quarantine.CrashQuarantine;
 import org.banyanstile.server.view.FleetView;
 
 /**
@@ -54,6 +55,8 @@
 
 	private final EndpointClient client;
 
+	private final CrashQuarantine quarantine;
+
 	private final IntSupplier vmCount;
 
 	private final DecisionLog log;
@@ -68,7 +71,8 @@
 
 	RouterServices(RouterSettings settings, FleetView view, RoleChanges roleChanges, RequestProtocol protocol,
 			EngineCalls engineCalls, EndpointLoads loads, EndpointHealth health, EndpointPicker picker,
-			EndpointClient client, IntSupplier vmCount, DecisionLog log, MeterRegistry registry) {
+			EndpointClient client, CrashQuarantine quarantine, IntSupplier vmCount, DecisionLog log,
+			MeterRegistry registry) {
 		this.settings = settings;
 		this.view = view;
 		this.roleChanges = roleChanges;
@@ -78,6 +82,7 @@
 		this.health = health;
 		this.picker = picker;
 		this.client = client;
+		this.quarantine = quarantine;
 		this.vmCount = vmCount;
 		this.log = log;
 		this.metrics = new RouterMetrics(registry);
@@ -141,6 +146,14 @@
 		return this.client;
 	}
 
+	CrashQuarantine quarantine() {
+		return this.quarantine;
+	}
+
+	int vmCount() {
+		return this.vmCount.getAsInt();
+	}
+
 	DecisionLog log() {
 		return this.log;
 	}
--- a/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
@@ -159,6 +159,11 @@
 			return List.copyOf(this.roleChanges);
 		}
 
+		@Override
+		public List<GossipCrashes> crashes() {
+			return List.of();
+		}
+
 		// Called by the receiver for each datagram.
 		@Override
 		public void received(GossipState next) {
--- a/server/src/test/java/org/banyanstile/server/view/FleetViewTests.java
+++ b/server/src/test/java/org/banyanstile/server/view/FleetViewTests.java
@@ -180,7 +180,7 @@
 		@Override
 		public RegisteredEndpoint decodeEndpoint(String id, byte[] value) {
 			boolean ready = new String(value, StandardCharsets.UTF_8).equals("ready");
-			return new RegisteredEndpoint(id, "desk", "10.0.0.1:80", "dc1", EndpointRole.PLAIN, ready, 6, 0);
+			return new RegisteredEndpoint(id, "desk", "10.0.0.1:80", "dc1", EndpointRole.PLAIN, ready, 6, 0, 0);
 		}
 
 	}
