Treat a stream that ends inside an event as broken off

Cause: a stream without a length and chunks ends with its connection. The bytes after its last complete event were forwarded, and the stream of a crashed engine ended as complete for its caller; one that crashed before the first event looked like an empty answer.

Change: a stream that ends inside an event, or without a length and without an event, counts as broken: it fails over where the route allows it, otherwise it breaks for the caller too.

--- a/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
@@ -93,6 +93,16 @@
 		return all;
 	}
 
+	/**
+	 * Returns whether the response marks the end of its body. Otherwise the end of the
+	 * connection ends it, so that a connection closed too early cannot be told from the
+	 * end.
+	 * @return whether it has a length or chunks
+	 */
+	public boolean isDelimited() {
+		return header("Content-Length") != null || header("Transfer-Encoding") != null;
+	}
+
 	/**
 	 * Prevents reuse of the connection for another request.
 	 */
--- a/server/src/main/java/org/banyanstile/server/router/EventSplitter.java
+++ b/server/src/main/java/org/banyanstile/server/router/EventSplitter.java
@@ -93,14 +93,6 @@
 		this.inEvent = false;
 	}
 
-	/**
-	 * Returns the bytes after the last complete event.
-	 * @return the bytes
-	 */
-	ByteBuffer remainder() {
-		return ByteBuffer.wrap(this.pending.toByteArray());
-	}
-
 	/**
 	 * Returns the id of the last complete event.
 	 * @return the id, or {@code null} before the first one
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -351,8 +351,12 @@
 			}
 			bytes = next(response, engine);
 		}
-		if (this.splitter.remainder().hasRemaining()) {
-			this.call.response().write(this.splitter.remainder());
+		if (this.splitter.pendingBytes() > 0) {
+			throw new ConnectionBrokenException(engine.id() + " ended its stream inside an event", null);
+		}
+		// Without a length or chunks, a crash before the first event looks like an end.
+		if (this.splitter.eventCount() == 0 && !response.isDelimited()) {
+			throw new ConnectionBrokenException(engine.id() + " closed its stream without an event", null);
 		}
 	}
 
