Log the request limits that endpoints name

Cause: no log line named a limit, so neither its value nor the VMs that know it could be seen, and the hypotheses could not be told apart.

Change: the adapter decodes the limit, EndpointLimits keeps the latest one, and a change is logged. It limits nothing yet.

--- a/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
+++ b/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.banyanstile.core.limit.EndpointLimits;
 import org.banyanstile.core.placement.EndpointHealth;
 import org.banyanstile.io.http.ConnectFailedException;
 import org.banyanstile.io.http.HttpClient;
@@ -32,10 +33,17 @@
 
 	private final EndpointHealth health;
 
-	EndpointClient(HttpClient client, RequestProtocol protocol, EndpointHealth health) {
+	private final EndpointLimits limits;
+
+	private final DecisionLog log;
+
+	EndpointClient(HttpClient client, RequestProtocol protocol, EndpointHealth health, EndpointLimits limits,
+			DecisionLog log) {
 		this.client = client;
 		this.protocol = protocol;
 		this.health = health;
+		this.limits = limits;
+		this.log = log;
 	}
 
 	/**
@@ -85,6 +93,7 @@
 		String id = call.id();
 		if (id != null && !id.equals(fields.attemptId())) {
 			if (fields.notRun() && fields.attemptId() == null) {
+				recordLimit(endpoint, fields.requestsPerSecond());
 				drainRefusal(response);
 				throw NotRunException.refused("refused by " + endpoint.id() + " with " + response.status());
 			}
@@ -92,6 +101,7 @@
 			response.close();
 			throw new UnknownOutcomeException(endpoint.id() + " sent a response to request " + fields.attemptId());
 		}
+		recordLimit(endpoint, fields.requestsPerSecond());
 		if (fields.notRun()) {
 			drainRefusal(response);
 			throw NotRunException.refused("refused by " + endpoint.id() + " with " + response.status());
@@ -104,6 +114,13 @@
 		return response;
 	}
 
+	private void recordLimit(RegisteredEndpoint endpoint, double perSecond) {
+		if (this.limits.named(endpoint.id(), perSecond, System.nanoTime())) {
+			this.log.stateChange("request limit", "endpoint", endpoint.id(), "service", endpoint.service(), "perSecond",
+					(perSecond >= 0) ? perSecond : "none");
+		}
+	}
+
 	private static void drainRefusal(HttpResponse response) {
 		try {
 			response.setReadTimeout(Duration.ofMillis(100));
--- a/server/src/main/java/org/banyanstile/server/router/ResponseFields.java
+++ b/server/src/main/java/org/banyanstile/server/router/ResponseFields.java
@@ -1,5 +1,6 @@
 package org.banyanstile.server.router;
 
+import org.banyanstile.core.limit.EndpointLimits;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -8,8 +9,10 @@
  * @param attemptId id of the request that it responds to, {@code null} if absent
  * @param sealed whether it has the endpoint's seal
  * @param notRun whether the endpoint says that it did not run the request
+ * @param requestsPerSecond requests a second that the endpoint takes from all VMs
+ * together, {@link EndpointLimits#UNLIMITED} if it names no limit
  * @author banyanstile contributors
  */
-public record ResponseFields(@Nullable String attemptId, boolean sealed, boolean notRun) {
+public record ResponseFields(@Nullable String attemptId, boolean sealed, boolean notRun, double requestsPerSecond) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -15,6 +15,7 @@
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.limit.EndpointLimits;
 import org.banyanstile.core.placement.EndpointHealth;
 import org.banyanstile.core.placement.EndpointLoads;
 import org.banyanstile.core.placement.EndpointPicker;
@@ -113,13 +114,14 @@
 		TeamQuotas quotas = new TeamQuotas(ticker, settings.limitTolerance(), registration::others);
 		GracefulShutdown shutdown = GracefulShutdown.of(settings.shutdown(), ticker);
 		RoleChanges roleChanges = new RoleChanges();
+		EndpointLimits limits = new EndpointLimits();
 		CrashQuarantine quarantine = CrashQuarantine.create(new Random());
 		LocalGossipState localState = new LocalGossipState(view, loads, quotas, roleChanges, quarantine, shutdown,
 				ticker, log);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 		RouterServices services = new RouterServices(settings, view, roleChanges, platform.requests(),
 				platform.engines(), loads, health, EndpointPicker.create(loads, health, new Random()),
-				new EndpointClient(platform.client(), platform.requests(), health), quarantine,
+				new EndpointClient(platform.client(), platform.requests(), health, limits, log), quarantine,
 				() -> registration.others().size() + 1, log, registry);
 		RequestIntake intake = new RequestIntake(services, quotas, shutdown);
 		RouterServer server = new RouterServer(services, intake, platform.directory(),
