Keep to the request limits that endpoints name, all VMs together

Cause: the limit is a sum over all VMs, and no VM read it; one that keeps to it alone is one of eight.

Evidence: each VM stayed below the limit, all together exceeded it by five times; first attempts, not repeats, made up the excess.

Change: VMs pass on by gossip what endpoints named; of the live VMs some, chosen by rendezvous hashing for each endpoint, have an equal part of the rate with a burst of one request. The share is taken where cold rates are. It works because the parts add up to the limit and each VM with a part can exceed it by one request only.

--- a/core/src/main/java/org/banyanstile/core/lease/RendezvousHash.java
+++ b/core/src/main/java/org/banyanstile/core/lease/RendezvousHash.java
@@ -32,7 +32,7 @@
 		VmId best = null;
 		long bestScore = 0;
 		for (SlotRecord slot : candidates) {
-			long score = score(partition, slot.vm());
+			long score = score(partition, slot.vm().name());
 			int order = (best != null) ? Long.compareUnsigned(score, bestScore) : 1;
 			if (best == null || order > 0 || (order == 0 && slot.vm().compareTo(best) < 0)) {
 				best = slot.vm();
@@ -52,10 +52,17 @@
 		return local.isEmpty() ? live : local;
 	}
 
-	private static long score(String partition, VmId vm) {
+	/**
+	 * Returns the score of a member for a key. The member with the highest score,
+	 * compared as an unsigned number, is the preferred one.
+	 * @param key the key
+	 * @param member name of the member
+	 * @return the score
+	 */
+	public static long score(String key, String member) {
 		// FNV-1a with a final mix, since its high bits depend little on the last bytes.
 		long hash = 0xcbf29ce484222325L;
-		for (byte b : (partition + "\n" + vm.name()).getBytes(StandardCharsets.UTF_8)) {
+		for (byte b : (key + "\n" + member).getBytes(StandardCharsets.UTF_8)) {
 			hash = (hash ^ (b & 0xff)) * 0x100000001b3L;
 		}
 		hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
--- a/core/src/main/java/org/banyanstile/core/limit/EndpointLimits.java
+++ b/core/src/main/java/org/banyanstile/core/limit/EndpointLimits.java
@@ -1,12 +1,20 @@
 package org.banyanstile.core.limit;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Request limits that endpoints in need name in their responses. The latest response
- * counts. Safe for use by several threads.
+ * Request limits that endpoints in need name in their responses, and the share of this VM
+ * in each. It answers loads above what slowed endpoints can take, in which each VM alone
+ * would stay below the limit and all together would exceed it.
+ * <p>
+ * Only as many VMs send to a limited endpoint as it takes requests in a second, so that
+ * no share is much below one request a second. The order of VMs differs from endpoint to
+ * endpoint. VMs pass on what endpoints named; the latest response counts. Safe for use by
+ * several threads.
  *
  * @author banyanstile contributors
  */
@@ -18,14 +26,41 @@
 	public static final double UNLIMITED = -1;
 
 	/**
-	 * Time after which a limit counts as ended if no response repeated it.
+	 * Lowest rate that is used. An endpoint without any request could not tell that its
+	 * limit has ended.
+	 */
+	static final double MIN_PER_SECOND = 0.1;
+
+	/**
+	 * Part of a second for which a share accumulates, above one request. It lets through
+	 * the bursts of random arrivals.
+	 */
+	static final double BURST_SECONDS = 0.25;
+
+	/**
+	 * Time after which a limit counts as ended if no response repeated it. Three times
+	 * the interval between requests at the lowest rate.
 	 */
 	static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+	/**
+	 * Age up to which a response is passed on to other VMs. Twelve gossip rounds.
+	 */
+	static final long RECENT_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+	/**
+	 * Largest number of endpoints in a message to another VM, some 30 bytes each.
+	 */
+	static final int MAX_REPORTED = 32;
+
 	static final int MAX_ENDPOINTS = 4096;
 
+	private static final double NANOS_PER_SECOND = 1e9;
+
 	private final Map<String, Limit> limits = new HashMap<>();
 
+	private int reportOffset;
+
 	/**
 	 * Records the limit that an endpoint named in a response.
 	 * @param endpoint id of the endpoint
@@ -43,7 +78,7 @@
 			return false;
 		}
 		if (known == null) {
-			known = new Limit();
+			known = new Limit(now);
 			makeRoom(now);
 			this.limits.put(endpoint, known);
 		}
@@ -63,6 +98,28 @@
 		}
 	}
 
+	/**
+	 * Takes a request from the share of this VM if the endpoint has a limit.
+	 * @param endpoint id of the endpoint
+	 * @param position position of this VM
+	 * @param now the current time in nanoseconds
+	 * @return whether the endpoint may get the request
+	 */
+	public synchronized boolean tryTake(String endpoint, FleetPosition position, long now) {
+		Limit limit = this.limits.get(endpoint);
+		if (limit == null || !limit.isInForce(now)) {
+			return true;
+		}
+		double perSecond = Math.max(MIN_PER_SECOND, limit.perSecond);
+		FleetPosition.Position own = position.of(endpoint);
+		int senders = senders(perSecond, own.vms());
+		return limit.tryTake((own.rank() < senders) ? perSecond / senders : 0, now);
+	}
+
+	private static int senders(double perSecond, int vms) {
+		return Math.max(1, (int) Math.min(vms, Math.floor(perSecond)));
+	}
+
 	/**
 	 * Returns the limit of an endpoint.
 	 * @param endpoint id of the endpoint
@@ -75,7 +132,47 @@
 	}
 
 	/**
-	 * Limit of one endpoint.
+	 * Returns what endpoints named last, to be sent to other VMs.
+	 * @param now the current time in nanoseconds
+	 * @return at most {@link #MAX_REPORTED} reports, others in the next call
+	 */
+	public synchronized List<LimitReport> reports(long now) {
+		if (this.limits.isEmpty()) {
+			return List.of();
+		}
+		List<LimitReport> recent = new ArrayList<>();
+		this.limits.forEach((endpoint, limit) -> {
+			if (now - limit.namedAt < RECENT_NANOS) {
+				recent.add(new LimitReport(endpoint, limit.perSecond,
+						TimeUnit.NANOSECONDS.toMillis(Math.max(0, now - limit.namedAt))));
+			}
+		});
+		if (recent.size() <= MAX_REPORTED) {
+			return recent;
+		}
+		List<LimitReport> reports = new ArrayList<>();
+		for (int i = 0; i < MAX_REPORTED; i++) {
+			reports.add(recent.get(Math.floorMod(this.reportOffset++, recent.size())));
+		}
+		return reports;
+	}
+
+	/**
+	 * Merges the reports of another VM.
+	 * @param reports the reports
+	 * @param now the current time in nanoseconds
+	 */
+	public synchronized void merge(List<LimitReport> reports, long now) {
+		for (LimitReport report : reports.subList(0, Math.min(MAX_REPORTED, reports.size()))) {
+			long age = TimeUnit.MILLISECONDS.toNanos(Math.max(0, report.ageMillis()));
+			if (age < FORGET_NANOS && Double.isFinite(report.perSecond())) {
+				update(report.endpoint(), report.perSecond(), now - age, now);
+			}
+		}
+	}
+
+	/**
+	 * Limit of one endpoint, with the share of this VM.
 	 *
 	 * @author banyanstile contributors
 	 */
@@ -85,10 +182,29 @@
 
 		private long namedAt;
 
+		private double level = 1;
+
+		private long refilledAt;
+
+		private Limit(long now) {
+			this.refilledAt = now;
+		}
+
 		private boolean isInForce(long now) {
 			return this.perSecond >= 0 && now - this.namedAt < FORGET_NANOS;
 		}
 
+		private boolean tryTake(double share, long now) {
+			double refill = Math.max(0, now - this.refilledAt) / NANOS_PER_SECOND * share;
+			this.level = Math.min(Math.max(1, BURST_SECONDS * share), this.level + refill);
+			this.refilledAt = now;
+			if (share <= 0 || this.level < 1) {
+				return false;
+			}
+			this.level -= 1;
+			return true;
+		}
+
 	}
 
 }
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -139,6 +139,7 @@
 			.registerNested(GossipUse.class)
 			.registerNested(GossipRoleChange.class)
 			.registerNested(GossipCrashes.class)
+			.registerNested(GossipLimit.class)
 			.registerNested(GossipRow.class)
 			.register(GossipRows.class)
 			.register(GossipState.class);
@@ -226,7 +227,7 @@
 		}
 		List<GossipMember> peers = withMembers ? this.membership.alivePeers(this.ticker.nanos()) : List.of();
 		return new GossipState(this.membership.self(), peers, this.local.loads(), this.local.uses(),
-				this.local.roleChanges(), this.local.crashes(), versions, millis, reply);
+				this.local.roleChanges(), this.local.crashes(), this.local.limits(), versions, millis, reply);
 	}
 
 	private void send(ByteBuffer datagram, SocketAddress target) {
@@ -377,6 +378,12 @@
 		 */
 		List<GossipCrashes> crashes();
 
+		/**
+		 * Returns the request limits that endpoints named.
+		 * @return some of the limits that this VM knows
+		 */
+		List<GossipLimit> limits();
+
 		/**
 		 * Receives the state of another VM.
 		 * @param state the state
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipState.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipState.java
@@ -12,13 +12,14 @@
  * @param uses tokens that it has used, by team
  * @param roleChanges engines that are changing their role
  * @param crashes evidence against requests that crash endpoints
+ * @param limits request limits that endpoints named
  * @param versions for each table the version up to which it knows all changes
  * @param millis the store's time of each of these versions
  * @param reply whether this replies to another state, and needs no reply itself
  * @author banyanstile contributors
  */
 public record GossipState(GossipMember self, List<GossipMember> members, List<GossipLoad> loads, List<GossipUse> uses,
-		List<GossipRoleChange> roleChanges, List<GossipCrashes> crashes, List<Long> versions, List<Long> millis,
-		boolean reply) {
+		List<GossipRoleChange> roleChanges, List<GossipCrashes> crashes, List<GossipLimit> limits, List<Long> versions,
+		List<Long> millis, boolean reply) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/gossip/Membership.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/Membership.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.random.RandomGenerator;
 
+import org.banyanstile.core.lease.RendezvousHash;
+import org.banyanstile.core.limit.FleetPosition;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -186,6 +188,27 @@
 		return rank;
 	}
 
+	/**
+	 * Returns the position of this VM among the live VMs, without others that are
+	 * shutting down, in an order that depends on a key.
+	 * @param key the key
+	 * @param now the current time in nanoseconds
+	 * @return the position
+	 */
+	public synchronized FleetPosition.Position position(String key, long now) {
+		long own = RendezvousHash.score(key, this.self.vm());
+		int rank = 0;
+		int vms = 1;
+		for (Entry entry : this.entries.values()) {
+			if (now - entry.advancedAt() > deadNanos() || entry.member().state() == MemberState.LEAVING.ordinal()) {
+				continue;
+			}
+			vms++;
+			rank += (Long.compareUnsigned(RendezvousHash.score(key, entry.member().vm()), own) > 0) ? 1 : 0;
+		}
+		return new FleetPosition.Position(rank, vms);
+	}
+
 	/**
 	 * A VM and the time at which its counter last advanced.
 	 *
--- a/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
@@ -141,7 +141,7 @@
 			if (!MemoryHeadroom.fits(this.traits.memoryTokens(), used, this.tokens, late)) {
 				break;
 			}
-			if (!this.services.tryAcquireColdRate(engine)) {
+			if (!this.services.tryAcquireRate(engine)) {
 				continue;
 			}
 			asked++;
--- a/server/src/main/java/org/banyanstile/server/router/PlainRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/PlainRun.java
@@ -137,7 +137,7 @@
 			if (endpoint == null || (this.tried.contains(endpoint.id()) && !this.attempts.hasRun())) {
 				return null;
 			}
-			if (this.services.tryAcquireColdRate(endpoint)) {
+			if (this.services.tryAcquireRate(endpoint)) {
 				return endpoint;
 			}
 			candidates.remove(endpoint);
--- a/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
+++ b/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
@@ -67,7 +67,7 @@
 				return null;
 			}
 			tried.add(engine.id());
-			if (!this.services.tryAcquireColdRate(engine)) {
+			if (!this.services.tryAcquireRate(engine)) {
 				continue;
 			}
 			if (retry && !this.services.tryAcquireRetry(this.call.service())) {
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -16,6 +16,7 @@
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.common.Ticker;
 import org.banyanstile.core.limit.EndpointLimits;
+import org.banyanstile.core.limit.LimitReport;
 import org.banyanstile.core.placement.EndpointHealth;
 import org.banyanstile.core.placement.EndpointLoads;
 import org.banyanstile.core.placement.EndpointPicker;
@@ -24,6 +25,7 @@
 import org.banyanstile.core.quarantine.CrashQuarantine;
 import org.banyanstile.io.http.HttpClient;
 import org.banyanstile.server.gossip.GossipCrashes;
+import org.banyanstile.server.gossip.GossipLimit;
 import org.banyanstile.server.gossip.GossipLoad;
 import org.banyanstile.server.gossip.GossipMember;
 import org.banyanstile.server.gossip.GossipNode;
@@ -116,13 +118,14 @@
 		RoleChanges roleChanges = new RoleChanges();
 		EndpointLimits limits = new EndpointLimits();
 		CrashQuarantine quarantine = CrashQuarantine.create(new Random());
-		LocalGossipState localState = new LocalGossipState(view, loads, quotas, roleChanges, quarantine, shutdown,
-				ticker, log);
+		LocalGossipState localState = new LocalGossipState(view, loads, quotas, roleChanges, limits, quarantine,
+				shutdown, ticker, log);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 		RouterServices services = new RouterServices(settings, view, roleChanges, platform.requests(),
 				platform.engines(), loads, health, EndpointPicker.create(loads, health, new Random()),
-				new EndpointClient(platform.client(), platform.requests(), health, limits, log), quarantine,
-				() -> registration.others().size() + 1, log, registry);
+				new EndpointClient(platform.client(), platform.requests(), health, limits, log), limits,
+				(key) -> membership.position(key, ticker.nanos()), quarantine, () -> registration.others().size() + 1,
+				log, registry);
 		RequestIntake intake = new RequestIntake(services, quotas, shutdown);
 		RouterServer server = new RouterServer(services, intake, platform.directory(),
 				() -> callerAddresses(membership, shutdown, ticker), shutdown);
@@ -237,6 +240,8 @@
 
 		private final RoleChanges roleChanges;
 
+		private final EndpointLimits limits;
+
 		private final CrashQuarantine quarantine;
 
 		private final GracefulShutdown shutdown;
@@ -246,11 +251,13 @@
 		private final DecisionLog log;
 
 		private LocalGossipState(FleetView view, EndpointLoads loads, TeamQuotas quotas, RoleChanges roleChanges,
-				CrashQuarantine quarantine, GracefulShutdown shutdown, Ticker ticker, DecisionLog log) {
+				EndpointLimits limits, CrashQuarantine quarantine, GracefulShutdown shutdown, Ticker ticker,
+				DecisionLog log) {
 			this.view = view;
 			this.loads = loads;
 			this.quotas = quotas;
 			this.roleChanges = roleChanges;
+			this.limits = limits;
 			this.quarantine = quarantine;
 			this.shutdown = shutdown;
 			this.ticker = ticker;
@@ -292,6 +299,14 @@
 				.toList();
 		}
 
+		@Override
+		public List<GossipLimit> limits() {
+			return this.limits.reports(this.ticker.nanos())
+				.stream()
+				.map((report) -> new GossipLimit(report.endpoint(), report.perSecond(), report.ageMillis()))
+				.toList();
+		}
+
 		@Override
 		public List<GossipCrashes> crashes() {
 			return this.quarantine.reports(this.ticker.nanos())
@@ -315,6 +330,11 @@
 						change.remainingMillis()))
 				.toList();
 			this.roleChanges.report(reportedChanges, this.ticker.nanos());
+			List<LimitReport> reportedLimits = state.limits()
+				.stream()
+				.map((limit) -> new LimitReport(limit.endpoint(), limit.perSecond(), limit.ageMillis()))
+				.toList();
+			this.limits.merge(reportedLimits, this.ticker.nanos());
 			List<CrashEvidence> reportedCrashes = state.crashes()
 				.stream()
 				.map((crashes) -> new CrashEvidence(crashes.trait(), crashes.clearances(), crashes.crashes(),
--- a/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
@@ -109,6 +109,10 @@
 		this.registry.counter("banyanstile_wasted_prompt_tokens_total").increment(tokens);
 	}
 
+	void requestLimitReached() {
+		this.registry.counter("banyanstile_request_limit_reached_total").increment();
+	}
+
 	void quarantineRefusal() {
 		this.registry.counter("banyanstile_quarantine_refusals_total").increment();
 	}
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -11,6 +11,8 @@
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.catalog.ServedService;
 import org.banyanstile.core.limit.ColdRate;
+import org.banyanstile.core.limit.EndpointLimits;
+import org.banyanstile.core.limit.FleetPosition;
 import org.banyanstile.core.limit.RetryShare;
 import org.banyanstile.core.placement.AdmissionQueue;
 import org.banyanstile.core.placement.EndpointHealth;
@@ -55,6 +57,10 @@
 
 	private final EndpointClient client;
 
+	private final EndpointLimits limits;
+
+	private final FleetPosition position;
+
 	private final CrashQuarantine quarantine;
 
 	private final IntSupplier vmCount;
@@ -71,8 +77,8 @@
 
 	RouterServices(RouterSettings settings, FleetView view, RoleChanges roleChanges, RequestProtocol protocol,
 			EngineCalls engineCalls, EndpointLoads loads, EndpointHealth health, EndpointPicker picker,
-			EndpointClient client, CrashQuarantine quarantine, IntSupplier vmCount, DecisionLog log,
-			MeterRegistry registry) {
+			EndpointClient client, EndpointLimits limits, FleetPosition position, CrashQuarantine quarantine,
+			IntSupplier vmCount, DecisionLog log, MeterRegistry registry) {
 		this.settings = settings;
 		this.view = view;
 		this.roleChanges = roleChanges;
@@ -82,6 +88,8 @@
 		this.health = health;
 		this.picker = picker;
 		this.client = client;
+		this.limits = limits;
+		this.position = position;
 		this.quarantine = quarantine;
 		this.vmCount = vmCount;
 		this.log = log;
@@ -207,12 +215,23 @@
 	}
 
 	/**
-	 * If an endpoint is cold, takes a request from this VM's share of the endpoint's cold
-	 * request rate.
+	 * If an endpoint is cold or has named a request limit, takes a request from this VM's
+	 * share of the endpoint's request rate.
 	 * @param endpoint the endpoint
 	 * @return whether the endpoint may get the request
 	 */
-	boolean tryAcquireColdRate(RegisteredEndpoint endpoint) {
+	boolean tryAcquireRate(RegisteredEndpoint endpoint) {
+		if (!tryAcquireColdRate(endpoint)) {
+			return false;
+		}
+		boolean allowed = this.limits.tryTake(endpoint.id(), this.position, System.nanoTime());
+		if (!allowed) {
+			this.metrics.requestLimitReached();
+		}
+		return allowed;
+	}
+
+	private boolean tryAcquireColdRate(RegisteredEndpoint endpoint) {
 		var catalog = this.view.snapshot().catalog();
 		ServedService service = (catalog != null) ? catalog.service(endpoint.service()) : null;
 		if (service == null || service.coldPerSecond() <= 0 || !this.view.isCold(endpoint.id())) {
--- a/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
@@ -159,6 +159,11 @@
 			return List.copyOf(this.roleChanges);
 		}
 
+		@Override
+		public List<GossipLimit> limits() {
+			return List.of();
+		}
+
 		@Override
 		public List<GossipCrashes> crashes() {
 			return List.of();
