Give more VMs a share in each limited endpoint

Cause: with as many VMs as requests a second, one VM sent to each engine that takes one a second, and some VMs had no share in any of eleven such engines. They rejected all of their generations.

Change: four more VMs have a share in each endpoint. The sum exceeds the limit by at most one request for each.

Result: EndpointLimitsTests keeps its bounds.

--- a/core/src/main/java/org/banyanstile/core/limit/EndpointLimits.java
+++ b/core/src/main/java/org/banyanstile/core/limit/EndpointLimits.java
@@ -11,10 +11,10 @@
  * in each. It answers loads above what slowed endpoints can take, in which each VM alone
  * would stay below the limit and all together would exceed it.
  * <p>
- * Only as many VMs send to a limited endpoint as it takes requests in a second, so that
- * no share is much below one request a second. The order of VMs differs from endpoint to
- * endpoint. VMs pass on what endpoints named; the latest response counts. Safe for use by
- * several threads.
+ * Only some VMs send to a limited endpoint, since each one that has a share can exceed it
+ * by one request for a moment. Which ones differs from endpoint to endpoint, so that each
+ * VM has a share in several of them. VMs pass on what endpoints named; the latest
+ * response counts. Safe for use by several threads.
  *
  * @author banyanstile contributors
  */
@@ -31,6 +31,13 @@
 	 */
 	static final double MIN_PER_SECOND = 0.1;
 
+	/**
+	 * VMs that send to an endpoint, beside one for each request a second that it takes.
+	 * With fewer, some VMs of a small fleet have no share in any of the limited
+	 * endpoints.
+	 */
+	static final int MIN_SENDERS = 4;
+
 	/**
 	 * Part of a second for which a share accumulates, above one request. It lets through
 	 * the bursts of random arrivals.
@@ -117,7 +124,7 @@
 	}
 
 	private static int senders(double perSecond, int vms) {
-		return Math.max(1, (int) Math.min(vms, Math.floor(perSecond)));
+		return (int) Math.min(vms, MIN_SENDERS + Math.floor(perSecond));
 	}
 
 	/**
