Let a whole request hide no prompt part from suspicion

Cause: a part that had been answered is not suspected beside a trait that never was. The whole request is such a trait in nearly every request, so a part that becomes harmful after answers was never suspected. Found by reading the diff; the unit test gave the part alone and passed. The pause of 10 s before the first trial kept sound requests out for longer than a crashed engine takes to return where several engines crash for another reason. Ids of endpoints in reports of limits had no bound.

Change: only other parts of the prompt protect an answered part; the first trial comes after 4 s; longer ids than the store's keys are ignored. The test names a whole request beside the part, which fails on the code before.

--- a/core/src/main/java/org/banyanstile/core/limit/EndpointLimits.java
+++ b/core/src/main/java/org/banyanstile/core/limit/EndpointLimits.java
@@ -62,6 +62,12 @@
 
 	static final int MAX_ENDPOINTS = 4096;
 
+	/**
+	 * Longest id of an endpoint that is accepted, the longest key of the platform's
+	 * store.
+	 */
+	static final int MAX_ID_LENGTH = 200;
+
 	private static final double NANOS_PER_SECOND = 1e9;
 
 	private final Map<String, Limit> limits = new HashMap<>();
@@ -172,7 +178,8 @@
 	public synchronized void merge(List<LimitReport> reports, long now) {
 		for (LimitReport report : reports.subList(0, Math.min(MAX_REPORTED, reports.size()))) {
 			long age = TimeUnit.MILLISECONDS.toNanos(Math.max(0, report.ageMillis()));
-			if (age < FORGET_NANOS && Double.isFinite(report.perSecond())) {
+			if (age < FORGET_NANOS && Double.isFinite(report.perSecond())
+					&& report.endpoint().length() <= MAX_ID_LENGTH) {
 				update(report.endpoint(), report.perSecond(), now - age, now);
 			}
 		}
--- a/core/src/main/java/org/banyanstile/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/banyanstile/core/quarantine/CrashQuarantine.java
@@ -50,7 +50,7 @@
 	 * Pause before a trial after the number of crashes that begins a quarantine. Longer
 	 * than a crashed endpoint takes to return.
 	 */
-	static final long FIRST_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(10);
+	static final long FIRST_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
 	static final long SECOND_PAUSE_NANOS = TimeUnit.MINUTES.toNanos(1);
 
@@ -153,7 +153,7 @@
 			}
 			quarantined.add(suspicion);
 			wait = Math.max(wait, suspicion.trialFrom(isExplained(suspicion, traits), vms) - now);
-			if (!suspicion.isTrialFreeFor(call)) {
+			if (suspicion.isTrialRunning()) {
 				wait = Math.max(wait, TRIAL_NANOS);
 			}
 		}
@@ -206,15 +206,8 @@
 	 */
 	public synchronized List<Long> crashed(Object call, Collection<Long> traits, long crash, long now) {
 		end(call);
-		List<Long> suspects = traits.stream()
-			.filter((trait) -> !this.answered.contains(trait))
-			.limit(MAX_TRAITS_PER_CRASH)
-			.toList();
-		if (suspects.isEmpty()) {
-			suspects = traits.stream().limit(MAX_TRAITS_PER_CRASH).toList();
-		}
 		List<Long> quarantined = new ArrayList<>();
-		for (long trait : suspects) {
+		for (long trait : suspects(traits)) {
 			Suspicion suspicion = this.suspicions.get(trait);
 			if (suspicion == null) {
 				suspicion = add(trait, new Suspicion(trait, now, now), now);
@@ -231,6 +224,16 @@
 		return quarantined;
 	}
 
+	// A part that was answered is not suspected beside one that never was.
+	private List<Long> suspects(Collection<Long> traits) {
+		boolean unknownPart = traits.stream()
+			.anyMatch((trait) -> Traits.isPart(trait) && !this.answered.contains(trait));
+		return traits.stream()
+			.filter((trait) -> !Traits.isPart(trait) || !unknownPart || !this.answered.contains(trait))
+			.limit(MAX_TRAITS_PER_CRASH)
+			.toList();
+	}
+
 	/**
 	 * Records that an endpoint answered a request or began to do so, which clears the
 	 * traits of the request.
--- a/core/src/main/java/org/banyanstile/core/quarantine/Suspicion.java
+++ b/core/src/main/java/org/banyanstile/core/quarantine/Suspicion.java
@@ -103,8 +103,8 @@
 				+ (long) (this.trialDelay * spread);
 	}
 
-	boolean isTrialFreeFor(Object call) {
-		return this.trial == null || this.trial == call;
+	boolean isTrialRunning() {
+		return this.trial != null;
 	}
 
 	boolean isTrialOf(Object call) {
--- a/core/src/test/java/org/banyanstile/core/limit/EndpointLimitsTests.java
+++ b/core/src/test/java/org/banyanstile/core/limit/EndpointLimitsTests.java
@@ -72,6 +72,8 @@
 		for (int i = 0; i < 3 * EndpointLimits.MAX_ENDPOINTS; i++) {
 			this.limits.named("e" + i, 1, this.now);
 		}
+		this.limits.merge(List.of(new LimitReport("x".repeat(50_000), 1, 0)), this.now);
+		assertThat(this.limits.perSecond("x".repeat(50_000), this.now), is(EndpointLimits.UNLIMITED));
 		assertThat(this.limits.reports(this.now), hasSize(EndpointLimits.MAX_REPORTED));
 		int known = 0;
 		for (int i = 0; i < 3 * EndpointLimits.MAX_ENDPOINTS; i++) {
--- a/core/src/test/java/org/banyanstile/core/quarantine/CrashQuarantineTests.java
+++ b/core/src/test/java/org/banyanstile/core/quarantine/CrashQuarantineTests.java
@@ -71,9 +71,9 @@
 	void aPartThatBecomesHarmfulAfterAnswersIsQuarantined() {
 		this.quarantine.answered(List.of(BAD), this.now);
 		for (int i = 0; i < CrashQuarantine.QUARANTINE_CRASHES; i++) {
-			crash(BAD);
+			crash(BAD, Traits.ofRequest(100 + 2 * i));
 		}
-		assertThat(isRefused(BAD), is(true));
+		assertThat(isRefused(BAD, Traits.ofRequest(200)), is(true));
 	}
 
 	/**
