Start although a later address is in use at first

Callers saw: nothing yet; a VM whose earlier process still holds one of its addresses, but not the first one, hangs at its start for good.

Cause: a failed start of the server shuts down its threads, and the stop after it waits for them to close the addresses that were bound already.

Change: the server gets a worker made for it, which a failed start leaves alone.

--- a/server/src/main/java/org/banyanstile/server/router/RouterServer.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServer.java
@@ -1,5 +1,6 @@
 package org.banyanstile.server.router;
 
+import java.io.IOException;
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -17,7 +18,10 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import org.jspecify.annotations.Nullable;
+import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
 
 /**
  * HTTP server for callers, readiness checks, directory requests and metrics.
@@ -47,6 +51,11 @@
 	 */
 	private static final long BIND_TIMEOUT_NANOS = 5_000_000_000L;
 
+	/**
+	 * Threads that are kept for requests while none are served.
+	 */
+	private static final int CORE_REQUEST_THREADS = 4;
+
 	private static final long BIND_PAUSE_NANOS = 100_000_000;
 
 	private static final Duration DIRECTORY_TTL = Duration.ofSeconds(2);
@@ -69,6 +78,8 @@
 
 	private @Nullable Undertow server;
 
+	private @Nullable XnioWorker worker;
+
 	RouterServer(RouterServices services, RequestIntake intake, DirectoryProtocol directory,
 			Supplier<List<String>> callerAddresses, GracefulShutdown shutdown) {
 		this.services = services;
@@ -85,9 +96,11 @@
 	 * @param metrics source of the metrics
 	 */
 	void start(RouterAddresses addresses, Supplier<String> metrics) {
+		XnioWorker created = createWorker();
+		this.worker = created;
 		long deadline = System.nanoTime() + BIND_TIMEOUT_NANOS;
 		while (this.server == null) {
-			Undertow built = build(addresses, metrics);
+			Undertow built = build(addresses, metrics, created);
 			try {
 				built.start();
 				this.server = built;
@@ -104,10 +117,27 @@
 		schedule(Duration.ofMillis(CANCEL_CHECK_INTERVAL_MILLIS), this.intake::cancelEndedCalls);
 	}
 
-	private Undertow build(RouterAddresses addresses, Supplier<String> metrics) {
+	// With a worker of its own, a server whose start fails shuts it down and cannot close
+	// the addresses that it has bound.
+	private static XnioWorker createWorker() {
+		OptionMap options = OptionMap.builder()
+			.set(Options.WORKER_IO_THREADS, 1)
+			.set(Options.WORKER_TASK_CORE_THREADS, CORE_REQUEST_THREADS)
+			.set(Options.WORKER_TASK_MAX_THREADS, RequestIntake.MAX_CONCURRENT_REQUESTS)
+			.set(Options.TCP_NODELAY, true)
+			.set(Options.CORK, true)
+			.getMap();
+		try {
+			return Xnio.getInstance(Undertow.class.getClassLoader()).createWorker(options);
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("cannot create the threads of the server", ex);
+		}
+	}
+
+	private Undertow build(RouterAddresses addresses, Supplier<String> metrics, XnioWorker threads) {
 		Undertow.Builder builder = Undertow.builder()
-			.setWorkerThreads(RequestIntake.MAX_CONCURRENT_REQUESTS)
-			.setIoThreads(1)
+			.setWorker(threads)
 			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
 			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEADER_TIMEOUT_MILLIS)
 			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
@@ -115,8 +145,7 @@
 			.setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
 			.setServerOption(UndertowOptions.DECODE_URL, false)
 			.setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
-			.setSocketOption(Options.TCP_NODELAY, true)
-			.setWorkerOption(Options.WORKER_TASK_CORE_THREADS, 4);
+			.setSocketOption(Options.TCP_NODELAY, true);
 		listen(builder, addresses.callers(), this.intake);
 		listen(builder, addresses.readiness(), this::readiness);
 		listen(builder, addresses.directory(), this::directory);
@@ -180,6 +209,10 @@
 		if (started != null) {
 			started.stop();
 		}
+		XnioWorker threads = this.worker;
+		if (threads != null) {
+			threads.shutdownNow();
+		}
 	}
 
 }
