Let the threads of the server end by themselves at a stop

Cause: read in the diff. With a worker of its own the server no longer waited for its threads at a stop as Undertow did, and ended them at once, so the last bytes of a response could have been lost.

Change: the worker is shut down and gets up to a second before it is ended.

--- a/server/src/main/java/org/banyanstile/server/router/RouterServer.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServer.java
@@ -51,6 +51,12 @@
 	 */
 	private static final long BIND_TIMEOUT_NANOS = 5_000_000_000L;
 
+	/**
+	 * Longest wait for the threads of the server after the last request. The platform
+	 * kills a process some seconds after it asked it to stop.
+	 */
+	private static final long WORKER_STOP_MILLIS = 1000;
+
 	/**
 	 * Threads that are kept for requests while none are served.
 	 */
@@ -202,6 +208,20 @@
 		exchange.getResponseSender().send(body);
 	}
 
+	private static void shutDown(XnioWorker threads) {
+		threads.shutdown();
+		boolean ended = false;
+		try {
+			ended = threads.awaitTermination(WORKER_STOP_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		if (!ended) {
+			threads.shutdownNow();
+		}
+	}
+
 	@Override
 	public void close() {
 		this.timer.shutdownNow();
@@ -211,7 +231,7 @@
 		}
 		XnioWorker threads = this.worker;
 		if (threads != null) {
-			threads.shutdownNow();
+			shutDown(threads);
 		}
 	}
 
