--- a/review/stand-ins/src/Burst.java
+++ b/review/stand-ins/src/Burst.java
@@ -160,7 +160,7 @@
 			this.deployment.record.say("the case did not run as planned");
 			return 2;
 		}
-		return (missing > 0 && missing > late / 2) ? 1 : 0;
+		return (missing > 0 && 2 * missing > late) ? 1 : 0;
 	}
 
 }
--- a/review/stand-ins/src/Runner.java
+++ b/review/stand-ins/src/Runner.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 
 /** Stand-in of a runner of a plain service. It registers itself in the store. */
 class Runner implements AutoCloseable {
@@ -36,8 +35,6 @@
 
 	private final Semaphore slots = new Semaphore(SLOTS, true);
 
-	private final AtomicLong answers = new AtomicLong();
-
 	private final long born = System.currentTimeMillis();
 
 	private volatile boolean ended;
@@ -85,14 +82,6 @@
 		this.store.put("servers", this.id, entry);
 	}
 
-	long answers() {
-		return this.answers.get();
-	}
-
-	boolean hasEnded() {
-		return this.ended;
-	}
-
 	boolean handle(Http.Message request, Socket socket) throws Exception {
 		String attempt = request.header("X-Attempt-Id");
 		String expected = request.header("X-Expect-Instance");
@@ -144,7 +133,6 @@
 
 	void answer(Socket socket, String status, String attempt, Map<String, String> more, String body)
 			throws IOException {
-		this.answers.incrementAndGet();
 		socket.getOutputStream().write(message(status, attempt, more, body));
 	}
 
--- a/review/stand-ins/src/Vm.java
+++ b/review/stand-ins/src/Vm.java
@@ -65,7 +65,7 @@
 				i++;
 			}
 			catch (IOException ex) {
-				continue;
+				// Another process uses the port at one of the addresses.
 			}
 		}
 		return ports;
@@ -75,10 +75,6 @@
 		return (String) this.settings.get("callers");
 	}
 
-	long pid() {
-		return this.process.pid();
-	}
-
 	boolean isRunning() {
 		return this.process.isAlive();
 	}
@@ -101,14 +97,6 @@
 		this.process = builder.start();
 	}
 
-	Path log() {
-		return this.directory.resolve(this.name + ".log");
-	}
-
-	void signal(String signal) throws IOException, InterruptedException {
-		new ProcessBuilder("kill", "-" + signal, Long.toString(this.process.pid())).inheritIO().start().waitFor();
-	}
-
 	/** Waits until the VM says that it is ready. */
 	boolean awaitReady(long millis) throws InterruptedException {
 		long deadline = System.nanoTime() + millis * 1_000_000;
