--- a/review/stand-ins/src/Burst.java
+++ b/review/stand-ins/src/Burst.java
@@ -23,11 +23,11 @@
 
 	private static final double BURST_FACTOR = 2.3;
 
-	private static final int BURSTS = 8;
+	private static final int BURSTS = 12;
 
-	private static final long BURST_MILLIS = 10_000;
+	private static final long BURST_MILLIS = 4000;
 
-	private static final long CALM_MILLIS = 1500;
+	private static final long CALM_MILLIS = 3500;
 
 	private static final long LIMIT_MILLIS = Deployment.TIMEOUT_MILLIS + 500;
 
--- a/review/stand-ins/src/Endless.java
+++ b/review/stand-ins/src/Endless.java
@@ -21,7 +21,7 @@
 	/** Runners that are disturbed, a share of 0.6, and the share of their answers. */
 	private static final int SPOILED_RUNNERS = 3;
 
-	private static final double SPOILED_SHARE = 0.45;
+	private static final double SPOILED_SHARE = 0.05;
 
 	private static final long WORK_MILLIS = 57;
 
@@ -29,13 +29,13 @@
 
 	private static final long PAUSE_MILLIS = 60;
 
-	private static final int WINDOWS = 10;
+	private static final int WINDOWS = 8;
 
-	private static final long WINDOW_MILLIS = 2000;
+	private static final long WINDOW_MILLIS = 5000;
 
 	private static final long CALM_MILLIS = 5500;
 
-	private static final long BYTES_PER_SECOND = 16_000_000;
+	private static final long BYTES_PER_SECOND = 6_000_000;
 
 	private static final long LIMIT_MILLIS = Deployment.TIMEOUT_MILLIS + 500;
 
