Log each resend with both endpoints and the proof that it did not run

Cause: after a request ran twice, the log of its VM did not say which attempt was taken for one that had not run, nor why. The line of an attempt had neither the id in the response nor the state of the connection, and shared its maximum of 40 lines a second with all other lines about requests. The hypotheses on the order that ran twice could not be told apart.

Change: a resend line for requests and prefills, with a maximum of its own. Its proof names the status, whose id the response has, and the position of the exchange on its connection. No decision changes.

--- a/io/src/main/java/org/banyanstile/io/http/HttpConnection.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpConnection.java
@@ -24,6 +24,8 @@
 
 	private volatile boolean aborted;
 
+	private volatile int exchanges;
+
 	HttpConnection(ClientConnection connection, ResponseOverhead overhead) {
 		this.connection = connection;
 		this.overhead = overhead;
@@ -49,9 +51,18 @@
 	 */
 	void send(ClientRequest head, ClientCallback<ClientExchange> callback) {
 		this.overhead.reset();
+		this.exchanges = this.exchanges + 1;
 		this.connection.sendRequest(head, callback);
 	}
 
+	/**
+	 * Returns the number of requests that were sent.
+	 * @return the number
+	 */
+	int exchanges() {
+		return this.exchanges;
+	}
+
 	boolean isReusable() {
 		return !this.aborted && this.connection.isOpen();
 	}
--- a/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
@@ -103,6 +103,15 @@
 		return header("Content-Length") != null || header("Transfer-Encoding") != null;
 	}
 
+	/**
+	 * Returns the position of this exchange on its connection. Bytes of an earlier
+	 * exchange can arrive late at every position but the first.
+	 * @return the position, 1 for the first exchange
+	 */
+	public int exchangeNumber() {
+		return this.connection.exchanges();
+	}
+
 	/**
 	 * Prevents reuse of the connection for another request.
 	 */
--- a/server/src/main/java/org/banyanstile/server/router/CallAttempts.java
+++ b/server/src/main/java/org/banyanstile/server/router/CallAttempts.java
@@ -14,6 +14,8 @@
 
 	private final RouterCall call;
 
+	private final ResendLog resends;
+
 	private int runs;
 
 	private int arrivals;
@@ -21,6 +23,15 @@
 	CallAttempts(RouterServices services, RouterCall call) {
 		this.services = services;
 		this.call = call;
+		this.resends = new ResendLog(services, call, "request");
+	}
+
+	/**
+	 * Logs a resend if an earlier attempt is over. Called before each attempt.
+	 * @param endpoint the endpoint that gets the attempt
+	 */
+	void beginAttempt(RegisteredEndpoint endpoint) {
+		this.resends.begin(endpoint);
 	}
 
 	/**
@@ -38,6 +49,7 @@
 	 */
 	void recordNotRun(RegisteredEndpoint endpoint, NotRunException outcome) {
 		this.arrivals += outcome.hasReachedEndpoint() ? 1 : 0;
+		this.resends.end(endpoint, outcome.proof());
 		log(endpoint, "not run", String.valueOf(outcome.getMessage()));
 	}
 
@@ -48,6 +60,7 @@
 	 */
 	void recordUnknownOutcome(RegisteredEndpoint endpoint, UnknownOutcomeException outcome) {
 		recordRun();
+		this.resends.end(endpoint, "none, it may have run: " + outcome.getMessage());
 		log(endpoint, "unknown", String.valueOf(outcome.getMessage()));
 	}
 
--- a/server/src/main/java/org/banyanstile/server/router/DecisionLog.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecisionLog.java
@@ -30,6 +30,12 @@
 
 	private static final int MAX_PROBLEM_LINES = 10;
 
+	/**
+	 * Maximum lines a second about resends, which other lines about requests must not
+	 * suppress: without them a request that ran twice cannot be traced.
+	 */
+	private static final int MAX_RESEND_LINES = 40;
+
 	private static final Logger logger = LogManager.getLogger("decisions");
 
 	private final RateLimit requests = new RateLimit(MAX_REQUEST_LINES);
@@ -38,6 +44,8 @@
 
 	private final RateLimit problems = new RateLimit(MAX_PROBLEM_LINES);
 
+	private final RateLimit resends = new RateLimit(MAX_RESEND_LINES);
+
 	private final AtomicLong suppressedLines = new AtomicLong();
 
 	private DecisionLog() {
@@ -63,6 +71,17 @@
 		}
 	}
 
+	/**
+	 * Logs that a request is sent again.
+	 * @param id id of the request
+	 * @param fields names and values, alternating
+	 */
+	public void resend(@Nullable String id, @Nullable Object... fields) {
+		if (this.resends.tryAcquire()) {
+			write(this.resends, "resend", "request", (id != null) ? id : "none", fields);
+		}
+	}
+
 	/**
 	 * Logs a change of the state that this VM assumes.
 	 * @param event what changed
--- a/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
+++ b/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
@@ -85,17 +85,18 @@
 	private HttpResponse checked(RouterCall call, RegisteredEndpoint endpoint, HttpResponse response,
 			boolean prefillOnly) throws NotRunException, UnknownOutcomeException {
 		ResponseFields fields = this.protocol.responseFields(response.status(), response::header);
+		Refusal refusal = new Refusal(response.status(), call.id(), fields.attemptId(), response.exchangeNumber());
 		if (response.status() == MISDIRECTED) {
 			this.health.replaced(endpoint.id(), System.nanoTime());
 			drainRefusal(response);
-			throw NotRunException.refused("another instance responds at " + endpoint.address());
+			throw NotRunException.refused("another instance responds at " + endpoint.address(), refusal);
 		}
 		String id = call.id();
 		if (id != null && !id.equals(fields.attemptId())) {
 			if (fields.notRun() && fields.attemptId() == null) {
 				recordLimit(endpoint, fields.requestsPerSecond());
 				drainRefusal(response);
-				throw NotRunException.refused("refused by " + endpoint.id() + " with " + response.status());
+				throw NotRunException.refused("refused by " + endpoint.id() + " with " + response.status(), refusal);
 			}
 			response.discard();
 			response.close();
@@ -104,7 +105,7 @@
 		recordLimit(endpoint, fields.requestsPerSecond());
 		if (fields.notRun()) {
 			drainRefusal(response);
-			throw NotRunException.refused("refused by " + endpoint.id() + " with " + response.status());
+			throw NotRunException.refused("refused by " + endpoint.id() + " with " + response.status(), refusal);
 		}
 		if (!prefillOnly && !fields.sealed() && response.status() / STATUS_CLASS_SIZE == SUCCESS_CLASS) {
 			response.discard();
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -293,6 +293,7 @@
 		boolean resumable = this.call.route().resumable();
 		Duration responseTimeout = Duration.ofMillis(Math.max(1, this.call.remainingMillis()));
 		int earlierEvents = this.splitter.eventCount();
+		this.attempts.beginAttempt(engine);
 		beginPrefillAtDecodeEngine(engine, offered == null);
 		try (HttpResponse response = this.services.client()
 			.send(this.call, engine, fields, MAX_POOLED_IDLE, responseTimeout)) {
--- a/server/src/main/java/org/banyanstile/server/router/NotRunException.java
+++ b/server/src/main/java/org/banyanstile/server/router/NotRunException.java
@@ -12,19 +12,30 @@
 	@Serial
 	private static final long serialVersionUID = 1L;
 
+	private final String proof;
+
 	private final boolean reachedEndpoint;
 
-	private NotRunException(String message, boolean reachedEndpoint) {
+	private NotRunException(String message, String proof, boolean reachedEndpoint) {
 		super(message, null, false, false);
+		this.proof = proof;
 		this.reachedEndpoint = reachedEndpoint;
 	}
 
 	static NotRunException notSent(String message) {
-		return new NotRunException(message, false);
+		return new NotRunException(message, "not sent: " + message, false);
+	}
+
+	static NotRunException refused(String message, Refusal refusal) {
+		return new NotRunException(message, refusal.toString(), true);
 	}
 
-	static NotRunException refused(String message) {
-		return new NotRunException(message, true);
+	/**
+	 * Returns what proves that the request did not run.
+	 * @return the proof, for the log
+	 */
+	String proof() {
+		return this.proof;
 	}
 
 	/**
--- a/server/src/main/java/org/banyanstile/server/router/PlainRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/PlainRun.java
@@ -151,6 +151,7 @@
 		EndpointFields fields = EndpointFields.plain(endpoint.id(), this.call.team(),
 				this.call.endpointTimeoutMillis());
 		long startNanos = System.nanoTime();
+		this.attempts.beginAttempt(endpoint);
 		this.services.loads().begin(endpoint.id(), 0);
 		try (HttpResponse response = this.services.client()
 			.send(this.call, endpoint, fields, retryable ? MAX_RETRYABLE_IDLE : MAX_ONCE_ONLY_IDLE, attemptTimeout())) {
--- a/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
+++ b/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
@@ -58,6 +58,7 @@
 	PrefilledPrompt prefill(DecodeReservation reservation) {
 		Set<String> tried = new HashSet<>();
 		boolean retry = this.attempts.hasReachedEndpoint();
+		ResendLog resends = new ResendLog(this.services, this.call, "prefill");
 		for (int i = 0; i < MAX_PREFILL_ATTEMPTS && !this.call.isCancelledOrTimedOut()
 				&& !this.crashGuard.isRefused(); i++) {
 			List<RegisteredEndpoint> engines = this.services.engines(this.call.service(), EndpointRole.PREFILL);
@@ -73,20 +74,24 @@
 			if (retry && !this.services.tryAcquireRetry(this.call.service())) {
 				return null;
 			}
+			resends.begin(engine);
 			try {
 				return prefill(engine);
 			}
 			catch (NotRunException ex) {
+				resends.end(engine, ex.proof());
 				retry |= ex.hasReachedEndpoint();
 				this.services.health().refused(engine.id(), System.nanoTime());
 				this.attempts.log(engine, "prefill not run", ex.getMessage());
 			}
 			catch (UnknownOutcomeException ex) {
 				retry = true;
+				resends.end(engine, "none, the prompt may be prefilled: " + ex.getMessage());
 				recordLoss(engine, ex);
 			}
 			catch (HttpException ex) {
 				retry = true;
+				resends.end(engine, "none, the prompt may be prefilled: " + ex.getMessage());
 				recordLoss(engine, UnknownOutcomeException.of(ex));
 			}
 		}
