Count a refusal as proof only if it belongs to the request

What callers saw: an order ran at two endpoints, or was refused with 503 although it ran.

Cause: EndpointClient took each 421 as the refusal of the request that waited, before it compared the id in the response with that of the request, and each refusal without an id, on any connection. A late second copy of the refusal of an earlier request on the connection met both.

Change: ResponseBinding decides it in one place for all refusals: the response has the id of the request, or no id on the first exchange of its connection. Every other refusal leaves the outcome unknown, and the connection is closed.

Why it works: bytes of an earlier exchange have its id, and on a connection without an earlier exchange there are none.

--- a/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
+++ b/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
@@ -85,28 +85,15 @@
 	private HttpResponse checked(RouterCall call, RegisteredEndpoint endpoint, HttpResponse response,
 			boolean prefillOnly) throws NotRunException, UnknownOutcomeException {
 		ResponseFields fields = this.protocol.responseFields(response.status(), response::header);
-		Refusal refusal = new Refusal(response.status(), call.id(), fields.attemptId(), response.exchangeNumber());
-		if (response.status() == MISDIRECTED) {
-			this.health.replaced(endpoint.id(), System.nanoTime());
-			drainRefusal(response);
-			throw NotRunException.refused("another instance responds at " + endpoint.address(), refusal);
+		boolean refused = fields.notRun() || response.status() == MISDIRECTED;
+		if (refused) {
+			throw refusal(call, endpoint, response, fields);
 		}
 		String id = call.id();
 		if (id != null && !id.equals(fields.attemptId())) {
-			if (fields.notRun() && fields.attemptId() == null) {
-				recordLimit(endpoint, fields.requestsPerSecond());
-				drainRefusal(response);
-				throw NotRunException.refused("refused by " + endpoint.id() + " with " + response.status(), refusal);
-			}
-			response.discard();
-			response.close();
-			throw new UnknownOutcomeException(endpoint.id() + " sent a response to request " + fields.attemptId());
+			throw foreignResponse(endpoint, response, fields);
 		}
 		recordLimit(endpoint, fields.requestsPerSecond());
-		if (fields.notRun()) {
-			drainRefusal(response);
-			throw NotRunException.refused("refused by " + endpoint.id() + " with " + response.status(), refusal);
-		}
 		if (!prefillOnly && !fields.sealed() && response.status() / STATUS_CLASS_SIZE == SUCCESS_CLASS) {
 			response.discard();
 			response.close();
@@ -115,6 +102,33 @@
 		return response;
 	}
 
+	// Returns the proof that the request did not run.
+	// @throws UnknownOutcomeException if the response may belong to another request
+	private NotRunException refusal(RouterCall call, RegisteredEndpoint endpoint, HttpResponse response,
+			ResponseFields fields) throws UnknownOutcomeException {
+		Refusal refusal = new Refusal(response.status(), call.id(), fields.attemptId(), response.exchangeNumber());
+		if (!refusal.isProof()) {
+			throw foreignResponse(endpoint, response, fields);
+		}
+		if (response.status() == MISDIRECTED) {
+			this.health.replaced(endpoint.id(), System.nanoTime());
+			drainRefusal(response);
+			return NotRunException.refused("another instance responds at " + endpoint.address(), refusal);
+		}
+		recordLimit(endpoint, fields.requestsPerSecond());
+		drainRefusal(response);
+		return NotRunException.refused("refused by " + endpoint.id() + " with " + response.status(), refusal);
+	}
+
+	private static UnknownOutcomeException foreignResponse(RegisteredEndpoint endpoint, HttpResponse response,
+			ResponseFields fields) {
+		response.discard();
+		response.close();
+		String id = fields.attemptId();
+		return new UnknownOutcomeException(
+				endpoint.id() + " sent a response " + ((id != null) ? "to request " + id : "without an id"));
+	}
+
 	private void recordLimit(RegisteredEndpoint endpoint, double perSecond) {
 		if (this.limits.named(endpoint.id(), perSecond, System.nanoTime())) {
 			this.log.stateChange("request limit", "endpoint", endpoint.id(), "service", endpoint.service(), "perSecond",
--- a/server/src/main/java/org/banyanstile/server/router/Refusal.java
+++ b/server/src/main/java/org/banyanstile/server/router/Refusal.java
@@ -1,5 +1,6 @@
 package org.banyanstile.server.router;
 
+import org.banyanstile.core.attempt.ResponseBinding;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -13,6 +14,14 @@
  */
 record Refusal(int status, @Nullable String requestId, @Nullable String responseId, int exchange) {
 
+	/**
+	 * Returns whether the response proves that the request did not run.
+	 * @return whether it does
+	 */
+	boolean isProof() {
+		return ResponseBinding.provesRefusal(this.requestId, this.responseId, this.exchange == 1);
+	}
+
 	@Override
 	public String toString() {
 		return "refused with " + this.status + ", " + idText() + ", exchange " + this.exchange + " of its connection";
