Send requests that must run once on connections of their own

An order that got 421 from an endpoint and went on to the successor at the same address was refused with 503 although it ran.

Cause: all attempts of a request have one id. If the second attempt uses the connection of the first one, a late copy of the first refusal has the right id. Orders also shared connections with other requests, so that a late copy for one of these took the place of the response.

Change: ConnectionReuse decides for each attempt whether it may use a pooled connection. A request that must run once gets a new one; a second attempt at the same address too.

Why it works: the first response on a connection cannot be a copy of an earlier one, and a connection carries each request at most once.

--- a/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
+++ b/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import org.banyanstile.core.attempt.ConnectionReuse;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.limit.EndpointLimits;
 import org.banyanstile.core.placement.EndpointHealth;
@@ -51,7 +52,7 @@
 	 * @param call the request
 	 * @param endpoint the endpoint
 	 * @param fields header fields to add
-	 * @param maxIdle maximum idle time of a pooled connection that is reused
+	 * @param maxIdle maximum idle time of a pooled connection, if the request may use one
 	 * @param timeout maximum wait for the head of the response
 	 * @return the response of an endpoint that ran the request
 	 * @throws NotRunException if the request certainly did not run
@@ -60,12 +61,15 @@
 	HttpResponse send(RouterCall call, RegisteredEndpoint endpoint, EndpointFields fields, Duration maxIdle,
 			Duration timeout) throws NotRunException, UnknownOutcomeException {
 		HttpRequest request = call.request(endpoint.address(), this.protocol, fields);
+		boolean reuse = ConnectionReuse.isAllowed(fields.prefillOnly() || call.route().isRetryable(),
+				call.isSentTo(endpoint.address()));
 		Duration connectTimeout = request.connectTimeout();
 		long now = System.nanoTime();
+		call.recordSent(endpoint.address());
 		try {
-			HttpResponse response = this.client.send(
-					request.withTimeout(timeout).withConnectTimeout(connectTimeout).withMaxIdle(maxIdle),
-					call.callHandle());
+			HttpResponse response = this.client.send(request.withTimeout(timeout)
+				.withConnectTimeout(connectTimeout)
+				.withMaxIdle(reuse ? maxIdle : Duration.ZERO), call.callHandle());
 			return checked(call, endpoint, response, fields.prefillOnly());
 		}
 		catch (ConnectFailedException ex) {
--- a/server/src/main/java/org/banyanstile/server/router/PlainRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/PlainRun.java
@@ -22,14 +22,7 @@
  */
 final class PlainRun {
 
-	/**
-	 * Maximum idle time of a pooled connection that is reused for a call that must not
-	 * run twice. If the endpoint has closed the connection in the meantime, the outcome
-	 * of the request is unknown.
-	 */
-	private static final Duration MAX_ONCE_ONLY_IDLE = Duration.ofMillis(300);
-
-	private static final Duration MAX_RETRYABLE_IDLE = Duration.ofSeconds(5);
+	private static final Duration MAX_POOLED_IDLE = Duration.ofSeconds(5);
 
 	private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
 
@@ -147,14 +140,13 @@
 
 	private BufferedResponse attempt(RegisteredEndpoint endpoint) throws NotRunException, UnknownOutcomeException {
 		this.tried.add(endpoint.id());
-		boolean retryable = this.call.route().isRetryable();
 		EndpointFields fields = EndpointFields.plain(endpoint.id(), this.call.team(),
 				this.call.endpointTimeoutMillis());
 		long startNanos = System.nanoTime();
 		this.attempts.beginAttempt(endpoint);
 		this.services.loads().begin(endpoint.id(), 0);
 		try (HttpResponse response = this.services.client()
-			.send(this.call, endpoint, fields, retryable ? MAX_RETRYABLE_IDLE : MAX_ONCE_ONLY_IDLE, attemptTimeout())) {
+			.send(this.call, endpoint, fields, MAX_POOLED_IDLE, attemptTimeout())) {
 			response.setReadTimeout(attemptTimeout());
 			BufferedResponse buffered = new BufferedResponse(response.status(), response.headers(),
 					response.bytes(MAX_BODY_BYTES));
--- a/server/src/main/java/org/banyanstile/server/router/RouterCall.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterCall.java
@@ -1,8 +1,10 @@
 package org.banyanstile.server.router;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderValues;
@@ -55,6 +57,8 @@
 
 	private final CallerResponse response;
 
+	private final Set<String> addresses = new HashSet<>();
+
 	private volatile boolean callerDisconnected;
 
 	private volatile boolean timedOut;
@@ -111,6 +115,20 @@
 		return this.body;
 	}
 
+	/**
+	 * Returns whether an attempt was sent to an address. Used by the thread that serves
+	 * the request.
+	 * @param address address of an endpoint
+	 * @return whether one was
+	 */
+	boolean isSentTo(String address) {
+		return this.addresses.contains(address);
+	}
+
+	void recordSent(String address) {
+		this.addresses.add(address);
+	}
+
 	/**
 	 * Returns the request target as the caller sent it.
 	 * @return path and query, byte for byte
