Send a retry on a new connection

What callers saw: 502 for a call that may be repeated, after both of its attempts met late copies of other responses.

Cause: the second attempt used a pooled connection, as the first one did, on which a late response may be due as well.

Change: ConnectionReuse allows a pooled connection for the first attempt of a stage only.

Why it works: on a new connection no earlier response can be late.

--- a/core/src/main/java/org/banyanstile/core/attempt/ConnectionReuse.java
+++ b/core/src/main/java/org/banyanstile/core/attempt/ConnectionReuse.java
@@ -14,12 +14,13 @@
 	/**
 	 * Returns whether an attempt may use a pooled connection.
 	 * @param repeatable whether the request may run more than once
-	 * @param sentBefore whether an attempt of the request was sent to the address before,
-	 * so that a late response to it has the same id
+	 * @param first whether it is the first attempt of the request. A late response to an
+	 * earlier one has the same id, and a retry must not fail for the same reason as the
+	 * first attempt
 	 * @return whether it may, or else needs a new one
 	 */
-	public static boolean isAllowed(boolean repeatable, boolean sentBefore) {
-		return repeatable && !sentBefore;
+	public static boolean isAllowed(boolean repeatable, boolean first) {
+		return repeatable && first;
 	}
 
 }
--- a/core/src/test/java/org/banyanstile/core/attempt/ConnectionReuseTests.java
+++ b/core/src/test/java/org/banyanstile/core/attempt/ConnectionReuseTests.java
@@ -9,13 +9,13 @@
 
 	@Test
 	void requestThatMustRunOnceNeedsANewConnection() {
-		assertThat(ConnectionReuse.isAllowed(false, false), is(false));
+		assertThat(ConnectionReuse.isAllowed(false, true), is(false));
 	}
 
 	@Test
-	void secondAttemptAtAnAddressNeedsANewConnection() {
-		assertThat(ConnectionReuse.isAllowed(true, true), is(false));
-		assertThat(ConnectionReuse.isAllowed(true, false), is(true));
+	void secondAttemptNeedsANewConnection() {
+		assertThat(ConnectionReuse.isAllowed(true, false), is(false));
+		assertThat(ConnectionReuse.isAllowed(true, true), is(true));
 	}
 
 }
--- a/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
+++ b/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
@@ -61,11 +61,10 @@
 	HttpResponse send(RouterCall call, RegisteredEndpoint endpoint, EndpointFields fields, Duration maxIdle,
 			Duration timeout) throws NotRunException, UnknownOutcomeException {
 		HttpRequest request = call.request(endpoint.address(), this.protocol, fields);
-		boolean reuse = ConnectionReuse.isAllowed(fields.prefillOnly() || call.route().isRetryable(),
-				call.isSentTo(endpoint.address()));
+		boolean first = call.beginAttempt(endpoint.address(), fields.prefillOnly());
+		boolean reuse = ConnectionReuse.isAllowed(fields.prefillOnly() || call.route().isRetryable(), first);
 		Duration connectTimeout = request.connectTimeout();
 		long now = System.nanoTime();
-		call.recordSent(endpoint.address());
 		try {
 			HttpResponse response = this.client.send(request.withTimeout(timeout)
 				.withConnectTimeout(connectTimeout)
--- a/server/src/main/java/org/banyanstile/server/router/RouterCall.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterCall.java
@@ -59,6 +59,10 @@
 
 	private final Set<String> addresses = new HashSet<>();
 
+	private boolean prefillSent;
+
+	private boolean requestSent;
+
 	private volatile boolean callerDisconnected;
 
 	private volatile boolean timedOut;
@@ -116,17 +120,17 @@
 	}
 
 	/**
-	 * Returns whether an attempt was sent to an address. Used by the thread that serves
-	 * the request.
-	 * @param address address of an endpoint
-	 * @return whether one was
+	 * Records an attempt. Used by the thread that serves the request.
+	 * @param address address of the endpoint
+	 * @param prefill whether the endpoint only prefills the prompt
+	 * @return whether it is the first attempt of its stage, and the first one of the
+	 * request at the address
 	 */
-	boolean isSentTo(String address) {
-		return this.addresses.contains(address);
-	}
-
-	void recordSent(String address) {
-		this.addresses.add(address);
+	boolean beginAttempt(String address, boolean prefill) {
+		boolean repeated = prefill ? this.prefillSent : this.requestSent;
+		this.prefillSent |= prefill;
+		this.requestSent |= !prefill;
+		return this.addresses.add(address) && !repeated;
 	}
 
 	/**
