Give requests without an id connections of their own

What callers saw: a caller whose request had no id got the response to the request of another caller, with status 200.

Cause: the id in a response was compared only if the request had one, and the request used pooled connections.

Evidence: LateCopyTests.lateCopyIsNotTheResponseToARequestWithoutAnId failed on the code before: expected 'fine', was 'late'.

Change: ConnectionReuse allows pooled connections only for requests that have an id.

Why it works: without an earlier exchange no response of one can arrive.

Result: the seven tests of LateCopyTests pass.

--- a/core/src/main/java/org/banyanstile/core/attempt/ConnectionReuse.java
+++ b/core/src/main/java/org/banyanstile/core/attempt/ConnectionReuse.java
@@ -13,14 +13,15 @@
 
 	/**
 	 * Returns whether an attempt may use a pooled connection.
+	 * @param identified whether the request has an id, by which its response is known
 	 * @param repeatable whether the request may run more than once
 	 * @param first whether it is the first attempt of the request. A late response to an
 	 * earlier one has the same id, and a retry must not fail for the same reason as the
 	 * first attempt
 	 * @return whether it may, or else needs a new one
 	 */
-	public static boolean isAllowed(boolean repeatable, boolean first) {
-		return repeatable && first;
+	public static boolean isAllowed(boolean identified, boolean repeatable, boolean first) {
+		return identified && repeatable && first;
 	}
 
 }
--- a/core/src/test/java/org/banyanstile/core/attempt/ConnectionReuseTests.java
+++ b/core/src/test/java/org/banyanstile/core/attempt/ConnectionReuseTests.java
@@ -9,13 +9,18 @@
 
 	@Test
 	void requestThatMustRunOnceNeedsANewConnection() {
-		assertThat(ConnectionReuse.isAllowed(false, true), is(false));
+		assertThat(ConnectionReuse.isAllowed(true, false, true), is(false));
+	}
+
+	@Test
+	void requestWithoutAnIdNeedsANewConnection() {
+		assertThat(ConnectionReuse.isAllowed(false, true, true), is(false));
 	}
 
 	@Test
 	void secondAttemptNeedsANewConnection() {
-		assertThat(ConnectionReuse.isAllowed(true, false), is(false));
-		assertThat(ConnectionReuse.isAllowed(true, true), is(true));
+		assertThat(ConnectionReuse.isAllowed(true, true, false), is(false));
+		assertThat(ConnectionReuse.isAllowed(true, true, true), is(true));
 	}
 
 }
--- a/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
+++ b/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
@@ -62,7 +62,8 @@
 			Duration timeout) throws NotRunException, UnknownOutcomeException {
 		HttpRequest request = call.request(endpoint.address(), this.protocol, fields);
 		boolean first = call.beginAttempt(endpoint.address(), fields.prefillOnly());
-		boolean reuse = ConnectionReuse.isAllowed(fields.prefillOnly() || call.route().isRetryable(), first);
+		boolean reuse = ConnectionReuse.isAllowed(call.id() != null, fields.prefillOnly() || call.route().isRetryable(),
+				first);
 		Duration connectTimeout = request.connectTimeout();
 		long now = System.nanoTime();
 		try {
