Keep the outcome of a call until the store shows its claim

What callers saw: an order that ran, whose outcome could not be stored at once, was reported as not run when its caller repeated it, and ran again after that.

Cause: before an outcome is written late, its row is read. A reply that lacks the row, or shows it as it was before the claim, counted as proof that the claim was closed, and the outcome was dropped. The row still named this VM, which no longer knew the call and voided the claim.

Evidence: readOfAnEarlierStateDoesNotDropARetainedOutcome failed before, without the row and with its earlier state: "Expected Settled[Answered], but was Settled[NotRun]".

Change: an outcome is dropped only if the reply shows a version above that of the claim.

Why it works: versions rise with every write, so an older version is an older state.

--- a/core/src/main/java/org/banyanstile/core/claim/OnceOnlyClaims.java
+++ b/core/src/main/java/org/banyanstile/core/claim/OnceOnlyClaims.java
@@ -265,8 +265,13 @@
 	private boolean write(HeldClaim claim, ClaimOutcome outcome, boolean readFirst) {
 		String key = claim.identity().rowKey();
 		try {
-			Row row = readFirst ? find(this.store.read(List.of(key)), key) : null;
-			if (!readFirst || (row != null && row.version() == claim.version())) {
+			long version = readFirst ? version(this.store.read(List.of(key)), key) : claim.version();
+			if (version < claim.version()) {
+				// The reply shows the row as it was before the claim. A claim without its
+				// outcome would be voided, and the call would run again.
+				return false;
+			}
+			if (version == claim.version()) {
 				// A conflict means that the claim was closed as UNKNOWN, which is final.
 				put(new Condition(key, claim.version()), claim.record().with(outcome));
 			}
@@ -323,6 +328,11 @@
 		return version;
 	}
 
+	private static long version(List<Row> rows, String key) {
+		Row row = find(rows, key);
+		return (row != null) ? row.version() : Condition.ABSENT;
+	}
+
 	private static @Nullable Row find(List<Row> rows, String key) {
 		return rows.stream().filter((row) -> row.key().equals(key)).findFirst().orElse(null);
 	}
--- a/core/src/test/java/org/banyanstile/core/claim/OnceOnlyClaimsTests.java
+++ b/core/src/test/java/org/banyanstile/core/claim/OnceOnlyClaimsTests.java
@@ -150,6 +150,25 @@
 		assertThat(this.second.claim("b"), equalTo(settled(RESPONSE)));
 	}
 
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void readOfAnEarlierStateDoesNotDropARetainedOutcome(boolean rowKnown) {
+		this.second.claims.complete(this.second.granted("b"), NOT_RUN);
+		List<Row> earlier = rowKnown ? this.store.find(List.of(IDENTITY.rowKey())) : List.of();
+		StaleStore stale = new StaleStore(this.store);
+		this.view = stale;
+		Vm vm = new Vm("vm-6", 1);
+		HeldClaim claim = vm.granted("b");
+		this.store.failNext(Fault.UNAVAILABLE);
+		vm.claims.complete(claim, RESPONSE);
+		stale.reply = earlier;
+		vm.claims.writeRetained();
+		stale.reply = null;
+		assertThat("a repeated request", vm.claim("b"), equalTo(settled(RESPONSE)));
+		assertThat(vm.claims.writeRetained(), is(0));
+		assertThat(this.second.claim("b"), equalTo(settled(RESPONSE)));
+	}
+
 	@Test
 	void refusedConnectionVoidsTheClaimAndTheKeyCanBeUsedAgain() {
 		this.first.claims.complete(this.first.granted("b"), NOT_RUN);
@@ -327,6 +346,38 @@
 
 	}
 
+	/**
+	 * Store access whose reads return an earlier reply while one is set.
+	 *
+	 * @author banyanstile contributors
+	 */
+	private static final class StaleStore implements TableStore {
+
+		private final TableStore store;
+
+		private List<Row> reply;
+
+		StaleStore(TableStore store) {
+			this.store = store;
+		}
+
+		@Override
+		public TransactionResult transact(Transaction transaction) throws StoreException {
+			return this.store.transact(transaction);
+		}
+
+		@Override
+		public List<Row> read(Collection<String> keys) throws StoreException {
+			return (this.reply != null) ? this.reply : this.store.read(keys);
+		}
+
+		@Override
+		public List<Row> scan(String prefix, int limit) throws StoreException {
+			return this.store.scan(prefix, limit);
+		}
+
+	}
+
 	/**
 	 * Store access that drops the conditions of transactions.
 	 *
