Do not take a read without the claim as proof that the call did not run

What callers saw: a caller that repeated an order at another VM could be told that it did not run, although it ran.

Cause: the VM that holds a claim reads the row when another VM asks for the outcome. If the reply had no row it said that the call did not run. But the other VM asks only because it has read that row, and claims are never deleted.

Evidence: readThatLacksTheRowDoesNotProveToAnotherVmThatTheCallDidNotRun failed before: "Expected null, but was NotRun".

Change: such a reply says nothing; the other VM reads the claim again.

Why it works: the claim precedes the question, so a reply without it is older.

--- a/core/src/main/java/org/banyanstile/core/claim/OnceOnlyClaims.java
+++ b/core/src/main/java/org/banyanstile/core/claim/OnceOnlyClaims.java
@@ -297,7 +297,8 @@
 		try {
 			Row row = find(this.store.read(List.of(identity.rowKey())), identity.rowKey());
 			if (row == null) {
-				return new ClaimOutcome.NotRun();
+				// The other VM has read the claim, so this reply is older than the claim.
+				return null;
 			}
 			LocalClaims.Entry started = this.local.get(identity);
 			if (started != null) {
--- a/core/src/test/java/org/banyanstile/core/claim/OnceOnlyClaimsTests.java
+++ b/core/src/test/java/org/banyanstile/core/claim/OnceOnlyClaimsTests.java
@@ -169,6 +169,18 @@
 		assertThat(this.second.claim("b"), equalTo(settled(RESPONSE)));
 	}
 
+	@Test
+	void readThatLacksTheRowDoesNotProveToAnotherVmThatTheCallDidNotRun() {
+		StaleStore stale = new StaleStore(this.store);
+		this.view = stale;
+		Vm vm = new Vm("vm-6", 1);
+		vm.claims.complete(vm.granted("b"), RESPONSE);
+		stale.reply = List.of();
+		assertThat(vm.claims.query(IDENTITY, vm.holder), nullValue());
+		stale.reply = null;
+		assertThat(vm.claims.query(IDENTITY, vm.holder), equalTo(RESPONSE));
+	}
+
 	@Test
 	void refusedConnectionVoidsTheClaimAndTheKeyCanBeUsedAgain() {
 		this.first.claims.complete(this.first.granted("b"), NOT_RUN);
