Read the table service on new connections

Cause: reads and scans used pooled connections. A late second copy of an earlier reply was taken as the reply to the next read. Replies have no id, and an empty list of rows means that a row is absent, so nothing told the copy apart.

Evidence: lateCopyOfAnEarlierReplyDoesNotShowThatARowIsAbsent over sockets failed before: "Expected Row[key=k, version=7], but was []".

Change: every call of the table service uses a new connection, as writes did before.

Why it works: the first reply on a connection cannot be a copy of an earlier one.

The cost, one connect for each of the two to three calls a second of a VM, was not measured.

--- a/server/src/main/java/org/banyanstile/server/platform/HttpTableStore.java
+++ b/server/src/main/java/org/banyanstile/server/platform/HttpTableStore.java
@@ -72,9 +72,7 @@
 
 	@Override
 	public TransactionResult transact(Transaction transaction) throws StoreException {
-		// A pooled connection can break after the write was sent, so that its
-		// outcome is unknown. A fresh connection avoids this.
-		Reply reply = call(post("transact", transaction).withFreshConnection());
+		Reply reply = call(post("transact", transaction));
 		if (reply.status() == CONFLICT) {
 			return new TransactionResult.Conflict(rows(reply.body()));
 		}
@@ -112,7 +110,9 @@
 	}
 
 	private Reply call(HttpRequest request) throws StoreException {
-		try (HttpResponse response = this.http.send(request)) {
+		// A pooled connection can break after a write was sent, and can deliver a late
+		// copy of an earlier reply, which would show the rows as they were before.
+		try (HttpResponse response = this.http.send(request.withFreshConnection())) {
 			response.setReadTimeout(TIMEOUT);
 			int status = response.status();
 			String text = response.text(MAX_BYTES);
--- a/server/src/test/java/org/banyanstile/server/platform/HttpTableStoreTests.java
+++ b/server/src/test/java/org/banyanstile/server/platform/HttpTableStoreTests.java
@@ -18,6 +18,7 @@
 import org.banyanstile.core.store.Transaction;
 import org.banyanstile.core.store.TransactionResult;
 import org.banyanstile.io.http.HttpClient;
+import org.banyanstile.server.LateCopyServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -97,6 +98,21 @@
 		assertThrows(StoreOutcomeUnknownException.class, () -> put(silent));
 	}
 
+	@Test
+	void lateCopyOfAnEarlierReplyDoesNotShowThatARowIsAbsent() throws Exception {
+		String absent = LateCopyServer.response("200 OK", "{\"rows\":[]}");
+		String present = LateCopyServer.response("200 OK",
+				"{\"rows\":[{\"key\":\"k\",\"version\":7,\"value\":\"{}\"}]}");
+		try (LateCopyServer table = LateCopyServer
+			.start((request) -> (request.contains("\"k\"") || request.contains("prefix=k")) ? present : absent)) {
+			HttpTableStore store = HttpTableStore.create(this.http, "http://" + table.address());
+			store.read(List.of("other"));
+			assertThat(store.read(List.of("k")), equalTo(List.of(new Row("k", 7, "{}"))));
+			store.scan("other", 5);
+			assertThat(store.scan("k", 5), equalTo(List.of(new Row("k", 7, "{}"))));
+		}
+	}
+
 	@Test
 	void repliesAreDecoded() throws StoreException {
 		HttpTableStore store = serve((exchange) -> {
