Require the members that a reply of the table service must have

What callers saw: nothing so far; found in the audit of all proofs that a call did not run.

Cause: a reply without the member "rows", and a conflict in reply to a read, counted as the absence of all rows.

Evidence: replyOfAnotherOperationDoesNotShowThatARowIsAbsent failed before: "Expected StoreOutcomeUnknownException to be thrown, but nothing was thrown".

Change: a reply without its member has an unknown outcome.

Why it works: an unknown outcome is read back and never counts as proof.

--- a/server/src/main/java/org/banyanstile/server/platform/HttpTableStore.java
+++ b/server/src/main/java/org/banyanstile/server/platform/HttpTableStore.java
@@ -74,25 +74,30 @@
 	public TransactionResult transact(Transaction transaction) throws StoreException {
 		Reply reply = call(post("transact", transaction));
 		if (reply.status() == CONFLICT) {
-			return new TransactionResult.Conflict(rows(reply.body()));
+			return new TransactionResult.Conflict(rows(reply));
 		}
+		JsonNode members = reply.body().path("versions");
+		requireMember(members.isObject(), "versions");
 		Map<String, Long> versions = new HashMap<>();
-		reply.body()
-			.path("versions")
-			.fields()
-			.forEachRemaining((entry) -> versions.put(entry.getKey(), entry.getValue().asLong()));
+		members.fields().forEachRemaining((entry) -> versions.put(entry.getKey(), entry.getValue().asLong()));
 		return new TransactionResult.Committed(versions);
 	}
 
 	@Override
 	public List<Row> read(Collection<String> keys) throws StoreException {
-		return rows(call(post("read", Map.of("keys", keys))).body());
+		return readRows(post("read", Map.of("keys", keys)));
 	}
 
 	@Override
 	public List<Row> scan(String prefix, int limit) throws StoreException {
 		String query = "scan?prefix=" + URLEncoder.encode(prefix, StandardCharsets.UTF_8) + "&limit=" + limit;
-		return rows(call(HttpRequest.get(this.service.address(), path(query)).withTimeout(TIMEOUT)).body());
+		return readRows(HttpRequest.get(this.service.address(), path(query)).withTimeout(TIMEOUT));
+	}
+
+	private List<Row> readRows(HttpRequest request) throws StoreException {
+		Reply reply = call(request);
+		requireMember(reply.status() == OK, "rows");
+		return rows(reply);
 	}
 
 	private HttpRequest post(String operation, Object body) {
@@ -136,9 +141,17 @@
 		}
 	}
 
-	private static List<Row> rows(JsonNode body) {
+	private static void requireMember(boolean valid, String name) throws StoreOutcomeUnknownException {
+		if (!valid) {
+			throw new StoreOutcomeUnknownException("the reply of the table service has no member " + name, null);
+		}
+	}
+
+	private static List<Row> rows(Reply reply) throws StoreOutcomeUnknownException {
+		JsonNode members = reply.body().path("rows");
+		requireMember(members.isArray(), "rows");
 		List<Row> rows = new ArrayList<>();
-		for (JsonNode row : body.path("rows")) {
+		for (JsonNode row : members) {
 			rows.add(new Row(row.path("key").asText(), row.path("version").asLong(), row.path("value").asText()));
 		}
 		return rows;
--- a/server/src/test/java/org/banyanstile/server/platform/HttpTableStoreTests.java
+++ b/server/src/test/java/org/banyanstile/server/platform/HttpTableStoreTests.java
@@ -113,6 +113,18 @@
 		}
 	}
 
+	@Test
+	void replyOfAnotherOperationDoesNotShowThatARowIsAbsent() {
+		HttpTableStore committed = reply(200, "{\"versions\":{}}");
+		assertThrows(StoreOutcomeUnknownException.class, () -> committed.read(List.of("k")));
+		this.server.stop();
+		HttpTableStore conflict = reply(409, "{\"rows\":[]}");
+		assertThrows(StoreOutcomeUnknownException.class, () -> conflict.read(List.of("k")));
+		this.server.stop();
+		HttpTableStore rows = reply(200, "{\"rows\":[]}");
+		assertThrows(StoreOutcomeUnknownException.class, () -> put(rows));
+	}
+
 	@Test
 	void repliesAreDecoded() throws StoreException {
 		HttpTableStore store = serve((exchange) -> {
