Read the reports of engines on new connections

What callers saw: with an engine that sends a report twice, a stream that another VM had taken over could be cancelled, which makes its request run again or end as lost; a copy of a load report counted as an empty list of streams, which can free slots too early.

Cause: the two reports, load and streams, shared pooled connections.

Evidence: lateCopyOfAnEarlierReportIsNotTheNextList over sockets failed before: "Expected [EngineStream r1], but was []". Neither the cancellation nor a slot freed too early was reproduced.

Why it works: the first response on a connection cannot be a copy of an earlier one.

--- a/server/src/main/java/org/banyanstile/server/endpoint/EngineClient.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/EngineClient.java
@@ -198,7 +198,7 @@
 	 * @throws EndpointException if the call failed
 	 */
 	public List<EngineStream> streams(String address) throws EndpointException {
-		HttpRequest request = HttpRequest.get(address, "/engine/v1/streams").withTimeout(CONTROL_TIMEOUT);
+		HttpRequest request = report(address, "/engine/v1/streams");
 		List<EngineStream> streams = new ArrayList<>();
 		for (JsonNode node : EndpointJson.read(sendForText(request)).path("streams")) {
 			streams.add(EndpointJson.convert(node, EngineStream.class));
@@ -213,10 +213,16 @@
 	 * @throws EndpointException if the call failed
 	 */
 	public EngineLoad load(String address) throws EndpointException {
-		HttpRequest request = HttpRequest.get(address, "/engine/v1/load").withTimeout(CONTROL_TIMEOUT);
+		HttpRequest request = report(address, "/engine/v1/load");
 		return EndpointJson.convert(EndpointJson.read(sendForText(request)), EngineLoad.class);
 	}
 
+	// A late copy of an earlier report on a pooled connection would name the old holder
+	// of a stream, which would then be cancelled.
+	private static HttpRequest report(String address, String path) {
+		return HttpRequest.get(address, path).withTimeout(CONTROL_TIMEOUT).withFreshConnection();
+	}
+
 	private Map<String, Object> commonMembers(String requestId) {
 		Map<String, Object> members = new LinkedHashMap<>();
 		members.put("requestId", requestId);
