Reject responses of services that name another request

What callers saw: an order got the response or the refusal of another request if a service mixed them up.

Cause: ServiceClient did not compare the id in a response. A new connection rules out late copies on that connection, but not a service that confuses its own requests.

Evidence: responseToAnotherRequestLeavesTheOutcomeOfAnOrderUnknown failed before for 201, 409 and 503: "Expected 504, but was 201" and so on.

Change: a response with an X-Request-Id other than that of the request leaves the outcome unknown. A response without the field counts as before.

Why it works: each request has an id of its own, and only its response repeats it.

Result: that test and responseWithTheIdOfItsRequestIsAccepted pass.

--- a/server/src/main/java/org/banyanstile/server/caller/ServiceHandler.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ServiceHandler.java
@@ -11,6 +11,7 @@
 import io.undertow.server.HttpServerExchange;
 import org.banyanstile.core.common.TeamId;
 import org.banyanstile.server.endpoint.ServiceCall;
+import org.banyanstile.server.endpoint.ServiceClient;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -147,7 +148,7 @@
 		HttpServerExchange exchange = request.exchange();
 		String id = UUID.randomUUID().toString();
 		Map<String, String> headers = new LinkedHashMap<>(KeyScrubber.headers(exchange, request.presentedKey()));
-		headers.put("X-Request-Id", id);
+		headers.put(ServiceClient.REQUEST_ID, id);
 		if (caller != null) {
 			headers.put("X-Team", caller.team().name());
 		}
--- a/server/src/main/java/org/banyanstile/server/endpoint/ServiceClient.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/ServiceClient.java
@@ -14,6 +14,11 @@
  */
 public final class ServiceClient {
 
+	/**
+	 * Header field with the id of the request. A service may repeat it in the response.
+	 */
+	public static final String REQUEST_ID = "X-Request-Id";
+
 	private static final int MAX_RESPONSE_BYTES = 1024 * 1024;
 
 	private final HttpClient http;
@@ -38,13 +43,14 @@
 	 * @return the response, whatever its status
 	 * @throws EndpointUnreachableException if the service did not receive the call
 	 * @throws EndpointBrokenException if the service may have received the call but no
-	 * complete response arrived
+	 * complete response to it arrived
 	 */
 	public ServiceResponse call(String address, ServiceCall call)
 			throws EndpointUnreachableException, EndpointBrokenException {
 		HttpRequest request = new HttpRequest(call.method(), address, call.path(), call.headers(), call.body(),
 				call.timeout(), true);
 		try (HttpResponse response = this.http.send(request)) {
+			requireSameRequest(call, response);
 			return new ServiceResponse(response.status(), response.header("Content-Type"),
 					response.bytes(MAX_RESPONSE_BYTES));
 		}
@@ -56,4 +62,11 @@
 		}
 	}
 
+	private static void requireSameRequest(ServiceCall call, HttpResponse response) throws EndpointBrokenException {
+		String id = response.header(REQUEST_ID);
+		if (id != null && !id.equals(call.headers().get(REQUEST_ID))) {
+			throw new EndpointBrokenException("the service sent a response to request " + id, null);
+		}
+	}
+
 }
--- a/server/src/test/java/org/banyanstile/server/ServiceTests.java
+++ b/server/src/test/java/org/banyanstile/server/ServiceTests.java
@@ -10,11 +10,14 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.BlockingHandler;
+import io.undertow.util.HttpString;
 import org.banyanstile.io.http.HttpRequest;
 import org.banyanstile.io.http.HttpResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -142,6 +145,27 @@
 		assertThat(text, containsString("\"run\":\"unknown\""));
 	}
 
+	@ParameterizedTest
+	@ValueSource(ints = { 201, 409, 503 })
+	void responseToAnotherRequestLeavesTheOutcomeOfAnOrderUnknown(int status) throws Exception {
+		this.behaviour = (exchange) -> {
+			exchange.getResponseHeaders().put(new HttpString("X-Request-Id"), "another");
+			exchange.setStatusCode(status);
+		};
+		HttpResponse response = this.vm.send(order("f"));
+		assertThat(response.status(), is(504));
+		assertThat(response.text(1000), containsString("\"run\":\"unknown\""));
+		assertThat(this.vm.send(order("f")).status(), is(504));
+		assertThat(this.received, hasSize(1));
+	}
+
+	@Test
+	void responseWithTheIdOfItsRequestIsAccepted() throws Exception {
+		this.behaviour = (exchange) -> exchange.getResponseHeaders()
+			.put(new HttpString("X-Request-Id"), exchange.getRequestHeaders().getFirst("X-Request-Id"));
+		assertThat(this.vm.send(order("g")).status(), is(200));
+	}
+
 	/**
 	 * Guards against an endpoint that receives a caller's key in a header or the query.
 	 */
