Count a refusal as that of all attempts only if no attempt may have run

What callers saw: "refused_by_endpoint" for a lookup or a request for text whose first attempt broke and may have run, because the endpoint of the second attempt refused it.

Cause: after an attempt that may have run, only the state "not run" was changed to "unknown", not "refused by the endpoint". ChatCall did not change a 400 at all.

Evidence: refusalAfterABrokenConnectionDoesNotClaimThatALookupWasRefused and refusalOfARetryDoesNotClaimThatTheRequestWasRefused failed before: run was "refused_by_endpoint", expected "unknown".

Change: afterAttempt() changes both states, and ChatCall calls it for 400 as well.

Why it works: the error now covers all attempts of the request.

Result: both tests pass.

--- a/server/src/main/java/org/banyanstile/server/caller/ChatCall.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ChatCall.java
@@ -206,7 +206,9 @@
 			throw RequestException.unknown(ErrorType.STREAM_LOST, "the engine lost the stream");
 		}
 		if (ex instanceof EndpointRefusedException refused && refused.status() == 400) {
-			throw RequestException.refusedByEndpoint(refused.status(), String.valueOf(refused.getMessage()));
+			RequestException failure = RequestException.refusedByEndpoint(refused.status(),
+					String.valueOf(refused.getMessage()));
+			throw mayHaveRun ? failure.afterAttempt() : failure;
 		}
 		if (attempt == MAX_ATTEMPTS || !this.services.retries().tryRetry()) {
 			RequestException failure = RequestException.notRun(ErrorType.OVERLOADED, "no engine completed the request",
--- a/server/src/main/java/org/banyanstile/server/caller/RequestException.java
+++ b/server/src/main/java/org/banyanstile/server/caller/RequestException.java
@@ -79,12 +79,12 @@
 	}
 
 	/**
-	 * Returns this error without the statement that the request did not run, because an
-	 * earlier attempt may have run.
+	 * Returns this error without the statement that the request did not run or was
+	 * refused, because it may have run.
 	 * @return the error
 	 */
 	RequestException afterAttempt() {
-		return (this.run != RunState.NOT_RUN) ? this : new RequestException(this.type, RunState.UNKNOWN, this.status,
+		return (this.run == RunState.UNKNOWN) ? this : new RequestException(this.type, RunState.UNKNOWN, this.status,
 				String.valueOf(getMessage()), this.retryAfterMillis);
 	}
 
--- a/server/src/test/java/org/banyanstile/server/ChatTests.java
+++ b/server/src/test/java/org/banyanstile/server/ChatTests.java
@@ -1,9 +1,11 @@
 package org.banyanstile.server;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 
+import io.undertow.server.HttpServerExchange;
 import org.banyanstile.config.Endpoint;
 import org.banyanstile.config.EndpointRole;
 import org.banyanstile.io.http.HttpException;
@@ -219,6 +221,25 @@
 		assertThat(this.decode.opened, contains(0L, 0L));
 	}
 
+	@Test
+	void refusalOfARetryDoesNotClaimThatTheRequestWasRefused() throws Exception {
+		this.decode.decode = (exchange, id, from) -> {
+			if (this.decode.opened.size() == 1) {
+				exchange.getConnection().close();
+				return;
+			}
+			refuse(exchange, 400);
+		};
+		HttpResponse response = this.vm.send(this.vm.chat(false));
+		assertThat(response.status(), is(400));
+		assertThat(response.text(1000), containsString("\"run\":\"unknown\""));
+	}
+
+	private static void refuse(HttpServerExchange exchange, int status) throws IOException {
+		exchange.setStatusCode(status);
+		FakeEngine.send(exchange, "{\"error\":\"refused\"}");
+	}
+
 	@Test
 	void refusesAReusedKeyAndALostStream() throws Exception {
 		HttpRequest request = this.vm.chat(true).withHeader("Idempotency-Key", "b");
--- a/server/src/test/java/org/banyanstile/server/ServiceTests.java
+++ b/server/src/test/java/org/banyanstile/server/ServiceTests.java
@@ -145,6 +145,24 @@
 		assertThat(text, containsString("\"run\":\"unknown\""));
 	}
 
+	/**
+	 * Guards against the refusal of a call that another endpoint may have run.
+	 */
+	@Test
+	void refusalAfterABrokenConnectionDoesNotClaimThatALookupWasRefused() throws Exception {
+		this.vm.close();
+		this.vm = new TestVm(TestVm.service("s-1", address()), TestVm.service("s-2", address()));
+		this.behaviour = (exchange) -> {
+			if (this.received.size() == 1) {
+				exchange.getConnection().close();
+			}
+			exchange.setStatusCode(503);
+		};
+		String text = this.vm.send(lookup("")).text(1000);
+		assertThat(this.received, hasSize(2));
+		assertThat(text, containsString("\"run\":\"unknown\""));
+	}
+
 	@ParameterizedTest
 	@ValueSource(ints = { 201, 409, 503 })
 	void responseToAnotherRequestLeavesTheOutcomeOfAnOrderUnknown(int status) throws Exception {
