Do not take a server error as proof that a lookup did not run

What callers saw: a lookup that an endpoint answered with 500 was refused with "not_run" when no other endpoint was free, and with "refused_by_endpoint" otherwise.

Cause: for calls that may run more than once each status from 400 up counted as a refusal. Calls that must run once already excluded 5xx statuses other than 503.

Evidence: serverErrorDoesNotClaimThatALookupDidNotRun failed before: the error had "run":"not_run".

Change: RefusalStatus in core holds the rule, for both kinds of calls.

Why it works: an endpoint may fail with 500 in the middle of a run.

--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/attempt/RefusalStatus.java
@@ -0,0 +1,29 @@
+package org.banyanstile.core.attempt;
+
+/**
+ * Decides whether the status code of an error proves that the endpoint did not run the
+ * request.
+ *
+ * @author banyanstile contributors
+ */
+public final class RefusalStatus {
+
+	private static final int SERVER_ERROR = 500;
+
+	private static final int SERVICE_UNAVAILABLE = 503;
+
+	private RefusalStatus() {
+	}
+
+	/**
+	 * Returns whether an error proves that the request did not run. After a server error
+	 * it may have run, except after 503, which means that the endpoint is overloaded or
+	 * in cold start.
+	 * @param status status code of the error, at least 400
+	 * @return whether it does
+	 */
+	public static boolean isProof(int status) {
+		return status < SERVER_ERROR || status == SERVICE_UNAVAILABLE;
+	}
+
+}
--- a/server/src/main/java/org/banyanstile/server/caller/ServiceDispatch.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ServiceDispatch.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 
+import org.banyanstile.core.attempt.RefusalStatus;
 import org.banyanstile.server.endpoint.EndpointBrokenException;
 import org.banyanstile.server.endpoint.EndpointUnreachableException;
 import org.banyanstile.server.endpoint.ServiceCall;
@@ -87,9 +88,7 @@
 		if (response.status() < 400) {
 			return new CallOutcome.Answered(stored);
 		}
-		// After a 5xx status the call may have run, except after 503, which means that
-		// the endpoint is overloaded or in cold start.
-		return (response.status() < 500 || response.status() == 503) ? new CallOutcome.RefusedByEndpoint(stored)
+		return RefusalStatus.isProof(response.status()) ? new CallOutcome.RefusedByEndpoint(stored)
 				: new CallOutcome.OutcomeUnknown();
 	}
 
@@ -122,7 +121,7 @@
 	}
 
 	private static boolean isRetryable(RequestException ex) {
-		boolean serverRefusal = ex.run() == RunState.REFUSED_BY_ENDPOINT && (ex.status() == 429 || ex.status() >= 500);
+		boolean serverRefusal = ex.type() == ErrorType.ENDPOINT_REFUSED && (ex.status() == 429 || ex.status() >= 500);
 		return serverRefusal || ex.type() == ErrorType.OUTCOME_UNKNOWN || ex.type() == ErrorType.OVERLOADED;
 	}
 
@@ -134,7 +133,8 @@
 				return stored(response);
 			}
 			this.finder.exclude(slot.endpoint().id());
-			throw OnceOnlyOutcomes.refused(stored(response));
+			RequestException refusal = OnceOnlyOutcomes.refused(stored(response));
+			throw RefusalStatus.isProof(response.status()) ? refusal : refusal.afterAttempt();
 		}
 		catch (EndpointUnreachableException ex) {
 			this.finder.exclude(slot.endpoint().id());
--- a/server/src/test/java/org/banyanstile/server/ServiceTests.java
+++ b/server/src/test/java/org/banyanstile/server/ServiceTests.java
@@ -163,6 +163,12 @@
 		assertThat(text, containsString("\"run\":\"unknown\""));
 	}
 
+	@Test
+	void serverErrorDoesNotClaimThatALookupDidNotRun() throws Exception {
+		this.behaviour = (exchange) -> exchange.setStatusCode(500);
+		assertThat(this.vm.send(lookup("")).text(1000), containsString("\"run\":\"unknown\""));
+	}
+
 	@ParameterizedTest
 	@ValueSource(ints = { 201, 409, 503 })
 	void responseToAnotherRequestLeavesTheOutcomeOfAnOrderUnknown(int status) throws Exception {
