Do not take a server error of an engine as proof that a request did not run

What callers saw: "not_run" for a request for text that an engine ended with 500.

Cause: each error response of an engine counted as a refusal.

Evidence: serverErrorOfAnEngineDoesNotClaimThatTheRequestDidNotRun failed before: the error had "run":"not_run".

Change: EndpointRefusedException applies the rule of RefusalStatus.

Why it works: an engine may fail with 500 in the middle of a run.

Result: that test and refusalByAllEnginesSaysThatTheRequestDidNotRun pass.

--- a/server/src/main/java/org/banyanstile/server/caller/ChatCall.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ChatCall.java
@@ -198,7 +198,10 @@
 	}
 
 	private static boolean mayHaveRun(EndpointException ex) {
-		return !(ex instanceof EndpointUnreachableException) && !(ex instanceof EndpointRefusedException);
+		if (ex instanceof EndpointRefusedException refused) {
+			return refused.mayHaveRun();
+		}
+		return !(ex instanceof EndpointUnreachableException);
 	}
 
 	private void requireRetryAllowed(EndpointException ex, int attempt, boolean mayHaveRun) throws RequestException {
--- a/server/src/main/java/org/banyanstile/server/endpoint/EndpointRefusedException.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/EndpointRefusedException.java
@@ -1,5 +1,7 @@
 package org.banyanstile.server.endpoint;
 
+import org.banyanstile.core.attempt.RefusalStatus;
+
 /**
  * The endpoint responded with an error.
  *
@@ -29,4 +31,12 @@
 		return this.status;
 	}
 
+	/**
+	 * Returns whether the request may have run.
+	 * @return whether it may
+	 */
+	public boolean mayHaveRun() {
+		return !RefusalStatus.isProof(this.status);
+	}
+
 }
--- a/server/src/test/java/org/banyanstile/server/ChatTests.java
+++ b/server/src/test/java/org/banyanstile/server/ChatTests.java
@@ -221,6 +221,18 @@
 		assertThat(this.decode.opened, contains(0L, 0L));
 	}
 
+	@Test
+	void serverErrorOfAnEngineDoesNotClaimThatTheRequestDidNotRun() throws Exception {
+		this.decode.decode = (exchange, id, from) -> refuse(exchange, 500);
+		assertThat(this.vm.send(this.vm.chat(false)).text(1000), containsString("\"run\":\"unknown\""));
+	}
+
+	@Test
+	void refusalByAllEnginesSaysThatTheRequestDidNotRun() throws Exception {
+		this.decode.decode = (exchange, id, from) -> refuse(exchange, 503);
+		assertThat(this.vm.send(this.vm.chat(false)).text(1000), containsString("\"run\":\"not_run\""));
+	}
+
 	@Test
 	void refusalOfARetryDoesNotClaimThatTheRequestWasRefused() throws Exception {
 		this.decode.decode = (exchange, id, from) -> {
