Do not take the refusal of a repeated decode call as that of the first one

What callers saw: "not_run" for a request for text whose first decode call broke or got no response in time, and may have started the stream, because the engine refused the second call on the same stream.

Cause: DecodeStream calls an engine again after a broken connection. Until a response head had arrived, it passed each refusal on as that of the request, as if the calls before had not been made.

Evidence: refusalAfterABrokenDecodeDoesNotClaimThatTheRequestDidNotRun failed before: the error had "run":"not_run".

Change: a refusal after a call that may have started the stream reports it as lost.

Why it works: a lost stream counts as one that may have run, and is cancelled.

Result: that test passes.

--- a/server/src/main/java/org/banyanstile/server/endpoint/DecodeStream.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/DecodeStream.java
@@ -50,6 +50,8 @@
 
 	private boolean opened;
 
+	private boolean mayHaveStarted;
+
 	private @Nullable HttpResponse connection;
 
 	DecodeStream(EngineClient engine, String address, String requestId, int maxTokens, long fromOffset) {
@@ -78,22 +80,25 @@
 		}
 		catch (EndpointRefusedException ex) {
 			close();
-			if (!this.opened || ex.status() == 429 || ex.status() == 503) {
-				return handleRefusal(ex);
-			}
-			throw new StreamLostException("engine no longer has the stream", ex);
+			return handleRefusal(ex);
 		}
 		catch (EndpointUnreachableException | EndpointBrokenException ex) {
 			close();
+			this.mayHaveStarted |= ex instanceof EndpointBrokenException;
 			return isWithinSilenceTimeout(ex) ? new DecodeEvent.Silent() : recordFailure(ex);
 		}
 	}
 
 	private DecodeEvent handleRefusal(EndpointRefusedException ex) throws EndpointException {
 		if (!this.opened) {
-			throw ex;
+			// The refusal does not cover an earlier connection that broke.
+			throw this.mayHaveStarted ? new StreamLostException("engine refused a stream that it may have started", ex)
+					: ex;
+		}
+		if (ex.status() == 429 || ex.status() == 503) {
+			return recordFailure(ex);
 		}
-		return recordFailure(ex);
+		throw new StreamLostException("engine no longer has the stream", ex);
 	}
 
 	private DecodeEvent recordFailure(EndpointException ex) throws EndpointException {
--- a/server/src/test/java/org/banyanstile/server/ChatTests.java
+++ b/server/src/test/java/org/banyanstile/server/ChatTests.java
@@ -221,6 +221,21 @@
 		assertThat(this.decode.opened, contains(0L, 0L));
 	}
 
+	/**
+	 * Guards against a "not run" refusal of a request that the engine may have started.
+	 */
+	@Test
+	void refusalAfterABrokenDecodeDoesNotClaimThatTheRequestDidNotRun() throws Exception {
+		this.decode.decode = (exchange, id, from) -> {
+			if (this.decode.opened.size() == 1) {
+				exchange.getConnection().close();
+				return;
+			}
+			refuse(exchange, 503);
+		};
+		assertThat(this.vm.send(this.vm.chat(false)).text(1000), containsString("\"run\":\"unknown\""));
+	}
+
 	@Test
 	void serverErrorOfAnEngineDoesNotClaimThatTheRequestDidNotRun() throws Exception {
 		this.decode.decode = (exchange, id, from) -> refuse(exchange, 500);
