Do not report a request as not run after its stream was lost in a takeover

What callers saw: "not_run" for a repeated request that took over its stream, which ran, lost it, and was refused by the engines that were to run it again.

Cause: the attempts after the takeover began with no memory of it.

Evidence: refusalAfterALostTakeoverDoesNotClaimThatTheRequestDidNotRun failed before: the error had "run":"not_run".

Change: an error after a lost takeover has the state "unknown".

Why it works: the stream that was taken over is an attempt of the request.

Result: that test passes.

--- a/server/src/main/java/org/banyanstile/server/caller/ChatCall.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ChatCall.java
@@ -110,7 +110,12 @@
 			throw RequestException.unknown(ErrorType.STREAM_LOST, "the engine lost the stream");
 		}
 		requireNothingReceived();
-		runNew(relay);
+		try {
+			runNew(relay);
+		}
+		catch (RequestException ex) {
+			throw (handover != null) ? ex.afterAttempt() : ex;
+		}
 	}
 
 	private @Nullable StreamHandle takeOver(StreamKey key) throws RequestException {
--- a/server/src/test/java/org/banyanstile/server/ChatTests.java
+++ b/server/src/test/java/org/banyanstile/server/ChatTests.java
@@ -248,6 +248,23 @@
 		assertThat(this.vm.send(this.vm.chat(false)).text(1000), containsString("\"run\":\"not_run\""));
 	}
 
+	@Test
+	void refusalAfterALostTakeoverDoesNotClaimThatTheRequestDidNotRun() throws Exception {
+		this.decode.decode = (exchange, id, from) -> {
+			if (this.decode.opened.size() == 1) {
+				FakeEngine.word(exchange, id, 0);
+				this.decode.silence();
+				return;
+			}
+			refuse(exchange, (this.decode.opened.size() == 2) ? 404 : 503);
+		};
+		HttpRequest request = this.vm.chat(true).withHeader("Idempotency-Key", "d");
+		try (HttpResponse first = this.vm.send(request)) {
+			assertThat(first.line(1000), is("id: 0"));
+			assertThat(this.vm.send(request).text(1000), containsString("\"run\":\"unknown\""));
+		}
+	}
+
 	@Test
 	void refusalOfARetryDoesNotClaimThatTheRequestWasRefused() throws Exception {
 		this.decode.decode = (exchange, id, from) -> {
