Test late copies of refusals on kept connections in banyanstiled

Another operator reports a faulty endpoint that wrote an earlier refusal once more on a kept connection: callers were told "not run, try again" for requests that ran, or these ran at a second endpoint. Calls of services and engines use a new connection each, so it cannot happen here, also when the copy is a 421, a 429 or a 503. The tests guard that, and that a reset before or in the middle of a response leaves an order unknown.

--- a/server/src/test/java/org/banyanstile/server/ChatTests.java
+++ b/server/src/test/java/org/banyanstile/server/ChatTests.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.undertow.server.HttpServerExchange;
 import org.banyanstile.config.Endpoint;
@@ -279,6 +280,38 @@
 		assertThat(response.text(1000), containsString("\"run\":\"unknown\""));
 	}
 
+	/**
+	 * Guards against a refusal of a request that ran, and against a second run of it.
+	 */
+	@Test
+	void lateCopyOfARefusalIsNotTheRefusalOfAnotherRequest() throws Exception {
+		AtomicBoolean refusing = new AtomicBoolean(true);
+		String refusal = LateCopyServer.response("503 Service Unavailable", "{\"error\":\"full\"}");
+		try (LateCopyServer engine = LateCopyServer.start((request) -> {
+			boolean refused = refusing.get() && !request.contains("/cancel");
+			return refused ? refusal : engineReply(request);
+		})) {
+			this.vm.close();
+			this.vm = new TestVm(TestVm.engine("p-1", EndpointRole.PREFILL, engine.address()),
+					TestVm.engine("d-1", EndpointRole.DECODE, engine.address()));
+			assertThat(this.vm.send(this.vm.chat(false)).status(), is(503));
+			refusing.set(false);
+			engine.received.clear();
+			assertThat(stream(this.vm.chat(true)), is("w0 DONE"));
+			assertThat(engine.received.stream().filter((request) -> !request.contains("/cancel")).toList(), hasSize(3));
+		}
+	}
+
+	private static String engineReply(String request) {
+		String id = request.replaceAll("(?s).*\"requestId\":\"([^\"]+)\".*", "$1");
+		if (request.contains("/decode")) {
+			return LateCopyServer.response("200 OK", "{\"requestId\":\"" + id + "\",\"offset\":0,\"text\":\"w0 \"}\n"
+					+ "{\"requestId\":\"" + id + "\",\"offset\":1,\"finish\":\"stop\"}\n");
+		}
+		return LateCopyServer.response("200 OK",
+				request.contains("/import") ? "{\"done\":true}\n" : "{\"prefillId\":\"p1\",\"promptTokens\":3}");
+	}
+
 	private static void refuse(HttpServerExchange exchange, int status) throws IOException {
 		exchange.setStatusCode(status);
 		FakeEngine.send(exchange, "{\"error\":\"refused\"}");
--- a/server/src/test/java/org/banyanstile/server/ServiceTests.java
+++ b/server/src/test/java/org/banyanstile/server/ServiceTests.java
@@ -190,6 +190,39 @@
 		assertThat(this.vm.send(order("g")).status(), is(200));
 	}
 
+	/**
+	 * Guards against a refusal of an order that ran, and against a second run of it.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "421 Misdirected Request", "429 Too Many Requests", "503 Service Unavailable" })
+	void lateCopyOfARefusalIsNotTheRefusalOfAnotherCall(String refusal) throws Exception {
+		try (LateCopyServer copying = LateCopyServer.start((request) -> request.contains("refused")
+				? LateCopyServer.response(refusal, "") : LateCopyServer.response("200 OK", "ran"))) {
+			this.vm.close();
+			this.vm = new TestVm(TestVm.service("s-1", copying.address()), TestVm.service("s-2", copying.address()));
+			this.vm.send(order("h").withHeader("Accept-Language", "refused")).close();
+			this.vm.send(lookup("?refused")).close();
+			int before = copying.received.size();
+			assertThat(this.vm.send(order("i")).text(1000), is("ran"));
+			assertThat(this.vm.send(lookup("")).text(1000), is("ran"));
+			assertThat(copying.received, hasSize(before + 2));
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void resetLeavesTheOutcomeOfAnOrderUnknown(boolean partOfTheResponse) throws Exception {
+		String head = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 9\r\nConnection: close\r\n\r\n";
+		try (LateCopyServer resetting = LateCopyServer.start((request) -> partOfTheResponse ? head : null)) {
+			this.vm.close();
+			this.vm = new TestVm(TestVm.service("s-1", resetting.address()),
+					TestVm.service("s-2", resetting.address()));
+			String text = this.vm.send(order("j").withHeader("X-Deadline-Ms", "1000")).text(1000);
+			assertThat(text, containsString("\"run\":\"unknown\""));
+			assertThat(resetting.received, hasSize(1));
+		}
+	}
+
 	/**
 	 * Guards against an endpoint that receives a caller's key in a header or the query.
 	 */
