Log each resend in banyanstiled with both endpoints and the proof

Cause: a retry left a count only, so that a request that ran twice could not be traced to its endpoints, nor to what the VM took as proof that the first attempt did not run.

Change: ResendLog, which the other daemon has, takes names and a DecisionLog, so that both daemons use it. Calls of services log the stage "request", requests for text the stages "prefill", "transfer" and "decode". A line has the id of the request, both endpoints and the proof, or "none, it may have run" with the error, and whether the call may run more than once. Each exception of an endpoint says whether the request may have run.

--- a/server/src/main/java/org/banyanstile/server/Daemon.java
+++ b/server/src/main/java/org/banyanstile/server/Daemon.java
@@ -29,6 +29,7 @@
 import org.banyanstile.server.endpoint.ServiceClient;
 import org.banyanstile.server.operator.BurnCountersSource;
 import org.banyanstile.server.operator.OperatorServer;
+import org.banyanstile.server.router.DecisionLog;
 import org.banyanstile.server.vm.Addresses;
 import org.jspecify.annotations.Nullable;
 
@@ -151,7 +152,7 @@
 				parts.limiter(), parts.slots(), parts.claims(), parts.directory(), new RetryAllowance(), this.engine,
 				ServiceClient.create(this.http), this.canceller, this.running,
 				ResponseCache.create(RESPONSE_CACHE_RETENTION, RESPONSE_CACHE_BYTES, Ticker.system()), this.watch,
-				RequestMetrics.create(this.registry, this.burn, Ticker.system()));
+				RequestMetrics.create(this.registry, this.burn, Ticker.system()), DecisionLog.create());
 	}
 
 	/**
--- a/server/src/main/java/org/banyanstile/server/caller/ChatCall.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ChatCall.java
@@ -5,7 +5,7 @@
 
 import org.banyanstile.server.endpoint.EndpointException;
 import org.banyanstile.server.endpoint.EndpointRefusedException;
-import org.banyanstile.server.endpoint.EndpointUnreachableException;
+import org.banyanstile.server.router.ResendLog;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -44,6 +44,12 @@
 
 	private final String bodyHash;
 
+	private final ResendLog prefills;
+
+	private final ResendLog transfers;
+
+	private final ResendLog streams;
+
 	ChatCall(RequestServices services, CallerRequest request, Caller caller, ChatRequest chat, ChatOutput output,
 			CallControl control, RequestLabels labels, String id) {
 		this.services = services;
@@ -55,6 +61,9 @@
 		this.labels = labels;
 		this.id = id;
 		this.bodyHash = Hashes.sha256(request.body());
+		this.prefills = ResendLog.startingNow(services.log(), id, "prefill", true);
+		this.transfers = ResendLog.startingNow(services.log(), id, "transfer", true);
+		this.streams = ResendLog.startingNow(services.log(), id, "decode", true);
 	}
 
 	/**
@@ -99,7 +108,7 @@
 		if (handover != null) {
 			try {
 				this.services.metrics().superseded(this.labels);
-				relay.run(handover, this.bodyHash);
+				relay(relay, handover);
 				return;
 			}
 			catch (EndpointException ex) {
@@ -187,8 +196,8 @@
 			String requestId = this.id + "." + attempt;
 			try {
 				EngineRun run = new EngineRun(this.services, this.chat, this.control, this.labels, finder, requestId,
-						waitDeadlineNanos);
-				relay.run(run.prepare(), this.bodyHash);
+						waitDeadlineNanos, this.prefills, this.transfers);
+				relay(relay, run.prepare());
 				return;
 			}
 			catch (RequestException ex) {
@@ -196,17 +205,22 @@
 			}
 			catch (EndpointException ex) {
 				this.control.throwIfAborted();
-				mayHaveRun |= mayHaveRun(ex);
+				mayHaveRun |= ex.mayHaveRun();
 				requireRetryAllowed(ex, attempt, mayHaveRun);
 			}
 		}
 	}
 
-	private static boolean mayHaveRun(EndpointException ex) {
-		if (ex instanceof EndpointRefusedException refused) {
-			return refused.mayHaveRun();
+	private void relay(ChatRelay relay, StreamHandle stream) throws RequestException, EndpointException, IOException {
+		String endpoint = stream.slot().endpoint().id().name();
+		this.streams.begin(endpoint);
+		try {
+			relay.run(stream, this.bodyHash);
+		}
+		catch (EndpointException ex) {
+			this.streams.end(endpoint, ex.proof());
+			throw ex;
 		}
-		return !(ex instanceof EndpointUnreachableException);
 	}
 
 	private void requireRetryAllowed(EndpointException ex, int attempt, boolean mayHaveRun) throws RequestException {
--- a/server/src/main/java/org/banyanstile/server/caller/EngineRun.java
+++ b/server/src/main/java/org/banyanstile/server/caller/EngineRun.java
@@ -7,6 +7,7 @@
 import org.banyanstile.server.endpoint.Prefill;
 import org.banyanstile.server.endpoint.PrefillCall;
 import org.banyanstile.server.endpoint.StreamLostException;
+import org.banyanstile.server.router.ResendLog;
 
 /**
  * One attempt to run a request on engines. Acquires the decode slot before the prefill,
@@ -37,8 +38,12 @@
 
 	private final long waitDeadlineNanos;
 
+	private final ResendLog prefills;
+
+	private final ResendLog transfers;
+
 	EngineRun(RequestServices services, ChatRequest chat, CallControl control, RequestLabels labels, SlotFinder finder,
-			String requestId, long waitDeadlineNanos) {
+			String requestId, long waitDeadlineNanos, ResendLog prefills, ResendLog transfers) {
 		this.services = services;
 		this.chat = chat;
 		this.control = control;
@@ -46,6 +51,8 @@
 		this.finder = finder;
 		this.requestId = requestId;
 		this.waitDeadlineNanos = waitDeadlineNanos;
+		this.prefills = prefills;
+		this.transfers = transfers;
 	}
 
 	/**
@@ -81,6 +88,7 @@
 		try {
 			requireServing();
 			this.control.onAbort(() -> this.services.canceller().cancel(address, this.requestId));
+			this.prefills.begin(slot.endpoint().id().name());
 			Prefill prefill = this.services.engine()
 				.prefill(address, new PrefillCall(this.requestId, this.chat.model(), this.chat.prompt(), 0));
 			outcome = SlotOutcome.COMPLETED;
@@ -88,6 +96,7 @@
 			return prefill;
 		}
 		catch (EndpointException ex) {
+			this.prefills.end(slot.endpoint().id().name(), ex.proof());
 			this.control.throwIfAborted();
 			outcome = outcome(ex);
 			this.finder.exclude(slot.endpoint().id());
@@ -134,11 +143,13 @@
 		try {
 			this.control.onAbort(() -> this.services.canceller().cancel(address, this.requestId));
 			requireServing();
+			this.transfers.begin(slot.endpoint().id().name());
 			this.services.engine().importKv(address, this.requestId, prefill);
 			this.control.throwIfAborted();
 			transferred = true;
 		}
 		catch (EndpointException ex) {
+			this.transfers.end(slot.endpoint().id().name(), ex.proof());
 			this.control.throwIfAborted();
 			outcome = outcome(ex);
 			this.finder.exclude(slot.endpoint().id());
--- a/server/src/main/java/org/banyanstile/server/caller/RequestServices.java
+++ b/server/src/main/java/org/banyanstile/server/caller/RequestServices.java
@@ -3,6 +3,7 @@
 import org.banyanstile.core.common.DataCentreId;
 import org.banyanstile.server.endpoint.EngineClient;
 import org.banyanstile.server.endpoint.ServiceClient;
+import org.banyanstile.server.router.DecisionLog;
 
 /**
  * Services that the request handlers use.
@@ -22,11 +23,12 @@
  * @param responses cache of complete responses
  * @param watch monitors running requests
  * @param metrics counters and timers
+ * @param log log of decisions about requests
  * @author banyanstile contributors
  */
 public record RequestServices(DataCentreId dataCentre, ConfigurationView configuration, ServingCheck serving,
 		TeamLimiter limiter, SlotSource slots, ClaimService claims, StreamDirectory directory, RetryPermits retries,
 		EngineClient engine, ServiceClient service, EngineCanceller canceller, RunningStreams running,
-		ResponseCache responses, CallWatch watch, RequestMetrics metrics) {
+		ResponseCache responses, CallWatch watch, RequestMetrics metrics, DecisionLog log) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/caller/ServiceDispatch.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ServiceDispatch.java
@@ -8,6 +8,7 @@
 import org.banyanstile.server.endpoint.EndpointUnreachableException;
 import org.banyanstile.server.endpoint.ServiceCall;
 import org.banyanstile.server.endpoint.ServiceResponse;
+import org.banyanstile.server.router.ResendLog;
 
 /**
  * Sends one call to the endpoints of a plain service. Used by one thread.
@@ -32,14 +33,17 @@
 
 	private final RequestLabels labels;
 
+	private final ResendLog resends;
+
 	ServiceDispatch(RequestServices services, SlotFinder finder, ServiceCall call, String requestId, long waitMillis,
-			RequestLabels labels) {
+			RequestLabels labels, ResendLog resends) {
 		this.services = services;
 		this.finder = finder;
 		this.call = call;
 		this.requestId = requestId;
 		this.waitMillis = waitMillis;
 		this.labels = labels;
+		this.resends = resends;
 	}
 
 	/**
@@ -155,20 +159,33 @@
 	private ServiceResponse send(SlotDecision.Granted slot)
 			throws EndpointUnreachableException, EndpointBrokenException {
 		SlotOutcome outcome = SlotOutcome.BROKEN;
+		String endpoint = slot.endpoint().id().name();
+		this.resends.begin(endpoint);
 		try {
 			ServiceResponse response = this.services.service().call(slot.endpoint().address(), this.call);
+			this.resends.end(endpoint, proof(response.status()));
 			outcome = (response.status() < 500) ? SlotOutcome.COMPLETED : SlotOutcome.FAILED;
 			return response;
 		}
 		catch (EndpointUnreachableException ex) {
+			this.resends.end(endpoint, ex.proof());
 			outcome = SlotOutcome.FAILED;
 			throw ex;
 		}
+		catch (EndpointBrokenException ex) {
+			this.resends.end(endpoint, ex.proof());
+			throw ex;
+		}
 		finally {
 			this.services.slots().release(slot, outcome);
 		}
 	}
 
+	private static String proof(int status) {
+		return RefusalStatus.isProof(status) ? "refused with " + status
+				: "none, it may have run: the service responded with " + status;
+	}
+
 	private static StoredAnswer stored(ServiceResponse response) {
 		return new StoredAnswer(response.status(), response.contentType(),
 				new String(response.body(), StandardCharsets.UTF_8));
--- a/server/src/main/java/org/banyanstile/server/caller/ServiceHandler.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ServiceHandler.java
@@ -12,6 +12,7 @@
 import org.banyanstile.core.common.TeamId;
 import org.banyanstile.server.endpoint.ServiceCall;
 import org.banyanstile.server.endpoint.ServiceClient;
+import org.banyanstile.server.router.ResendLog;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -163,8 +164,9 @@
 		Pool pool = new Pool(this.services.dataCentre(), route.service(), PoolRole.SERVICE);
 		TeamId team = (caller != null) ? caller.team() : TeamId.of("open");
 		SlotDemand demand = new SlotDemand(pool, team, TOKEN_COST, id, request.fingerprint(), 0, Set.of());
+		ResendLog resends = ResendLog.startingNow(this.services.log(), id, "request", route.idempotent());
 		return new ServiceDispatch(this.services, new SlotFinder(this.services, request.configuration(), demand), call,
-				id, Math.min(SLOT_WAIT_MILLIS, request.deadlineMillis()), labels);
+				id, Math.min(SLOT_WAIT_MILLIS, request.deadlineMillis()), labels, resends);
 	}
 
 	private StoredAnswer claimAndRun(ClaimKey key, ServiceDispatch dispatch) throws RequestException {
--- a/server/src/main/java/org/banyanstile/server/endpoint/EndpointException.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/EndpointException.java
@@ -21,4 +21,20 @@
 		super(message, cause);
 	}
 
+	/**
+	 * Returns whether the endpoint may have run the request.
+	 * @return whether it may
+	 */
+	public boolean mayHaveRun() {
+		return true;
+	}
+
+	/**
+	 * Returns what proves that the endpoint did not run the request.
+	 * @return the proof, or a text which says that there is none
+	 */
+	public String proof() {
+		return mayHaveRun() ? "none, it may have run: " + getMessage() : String.valueOf(getMessage());
+	}
+
 }
--- a/server/src/main/java/org/banyanstile/server/endpoint/EndpointRefusedException.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/EndpointRefusedException.java
@@ -31,10 +31,7 @@
 		return this.status;
 	}
 
-	/**
-	 * Returns whether the request may have run.
-	 * @return whether it may
-	 */
+	@Override
 	public boolean mayHaveRun() {
 		return !RefusalStatus.isProof(this.status);
 	}
--- a/server/src/main/java/org/banyanstile/server/endpoint/EndpointUnreachableException.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/EndpointUnreachableException.java
@@ -20,4 +20,9 @@
 		super(message, cause);
 	}
 
+	@Override
+	public boolean mayHaveRun() {
+		return false;
+	}
+
 }
--- a/server/src/main/java/org/banyanstile/server/router/CallAttempts.java
+++ b/server/src/main/java/org/banyanstile/server/router/CallAttempts.java
@@ -23,7 +23,8 @@
 	CallAttempts(RouterServices services, RouterCall call) {
 		this.services = services;
 		this.call = call;
-		this.resends = new ResendLog(services, call, "request");
+		this.resends = ResendLog.create(services.log(), call.id(), "request", call.route().isRetryable(),
+				call::ageMillis);
 	}
 
 	/**
@@ -31,7 +32,7 @@
 	 * @param endpoint the endpoint that gets the attempt
 	 */
 	void beginAttempt(RegisteredEndpoint endpoint) {
-		this.resends.begin(endpoint);
+		this.resends.begin(endpoint.id());
 	}
 
 	/**
@@ -49,7 +50,7 @@
 	 */
 	void recordNotRun(RegisteredEndpoint endpoint, NotRunException outcome) {
 		this.arrivals += outcome.hasReachedEndpoint() ? 1 : 0;
-		this.resends.end(endpoint, outcome.proof());
+		this.resends.end(endpoint.id(), outcome.proof());
 		log(endpoint, "not run", String.valueOf(outcome.getMessage()));
 	}
 
@@ -60,7 +61,7 @@
 	 */
 	void recordUnknownOutcome(RegisteredEndpoint endpoint, UnknownOutcomeException outcome) {
 		recordRun();
-		this.resends.end(endpoint, "none, it may have run: " + outcome.getMessage());
+		this.resends.end(endpoint.id(), "none, it may have run: " + outcome.getMessage());
 		log(endpoint, "unknown", String.valueOf(outcome.getMessage()));
 	}
 
--- a/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
+++ b/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
@@ -58,7 +58,8 @@
 	PrefilledPrompt prefill(DecodeReservation reservation) {
 		Set<String> tried = new HashSet<>();
 		boolean retry = this.attempts.hasReachedEndpoint();
-		ResendLog resends = new ResendLog(this.services, this.call, "prefill");
+		ResendLog resends = ResendLog.create(this.services.log(), this.call.id(), "prefill",
+				this.call.route().isRetryable(), this.call::ageMillis);
 		for (int i = 0; i < MAX_PREFILL_ATTEMPTS && !this.call.isCancelledOrTimedOut()
 				&& !this.crashGuard.isRefused(); i++) {
 			List<RegisteredEndpoint> engines = this.services.engines(this.call.service(), EndpointRole.PREFILL);
@@ -74,24 +75,24 @@
 			if (retry && !this.services.tryAcquireRetry(this.call.service())) {
 				return null;
 			}
-			resends.begin(engine);
+			resends.begin(engine.id());
 			try {
 				return prefill(engine);
 			}
 			catch (NotRunException ex) {
-				resends.end(engine, ex.proof());
+				resends.end(engine.id(), ex.proof());
 				retry |= ex.hasReachedEndpoint();
 				this.services.health().refused(engine.id(), System.nanoTime());
 				this.attempts.log(engine, "prefill not run", ex.getMessage());
 			}
 			catch (UnknownOutcomeException ex) {
 				retry = true;
-				resends.end(engine, "none, the prompt may be prefilled: " + ex.getMessage());
+				resends.end(engine.id(), "none, the prompt may be prefilled: " + ex.getMessage());
 				recordLoss(engine, ex);
 			}
 			catch (HttpException ex) {
 				retry = true;
-				resends.end(engine, "none, the prompt may be prefilled: " + ex.getMessage());
+				resends.end(engine.id(), "none, the prompt may be prefilled: " + ex.getMessage());
 				recordLoss(engine, UnknownOutcomeException.of(ex));
 			}
 		}
--- a/server/src/test/java/org/banyanstile/server/ChatTests.java
+++ b/server/src/test/java/org/banyanstile/server/ChatTests.java
@@ -16,10 +16,13 @@
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasEntry;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
@@ -312,6 +315,23 @@
 				request.contains("/import") ? "{\"done\":true}\n" : "{\"prefillId\":\"p1\",\"promptTokens\":3}");
 	}
 
+	@Test
+	void resendIsLoggedWithBothEndpointsAndTheProofThatTheRequestDidNotRun() throws Exception {
+		this.decode.decode = (exchange, id, from) -> {
+			if (this.decode.opened.size() == 1) {
+				refuse(exchange, 503);
+				return;
+			}
+			this.decode.answer(exchange, id, from);
+		};
+		try (ResendLines log = new ResendLines()) {
+			assertThat(stream(this.vm.chat(true)), is("w0 w1 w2 w3 w4 DONE"));
+			assertThat(log.lines.toString(), log.lines, hasItem(allOf(hasEntry("stage", "decode"),
+					hasEntry("from", "d-1"), hasEntry("to", "d-1"), hasEntry("proof", "status 503: refused"))));
+			assertThat(log.lines, hasItem(allOf(hasEntry("stage", "prefill"), hasEntry("proof", "none, it ran"))));
+		}
+	}
+
 	private static void refuse(HttpServerExchange exchange, int status) throws IOException {
 		exchange.setStatusCode(status);
 		FakeEngine.send(exchange, "{\"error\":\"refused\"}");
--- a/server/src/test/java/org/banyanstile/server/ServiceTests.java
+++ b/server/src/test/java/org/banyanstile/server/ServiceTests.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -21,7 +23,9 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasEntry;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
@@ -223,6 +227,43 @@
 		}
 	}
 
+	@Test
+	void resendOfALookupIsLoggedWithBothEndpointsAndWhetherItMayHaveRun() throws Exception {
+		this.vm.close();
+		this.vm = new TestVm(TestVm.service("s-1", address()), TestVm.service("s-2", address()));
+		this.behaviour = (exchange) -> {
+			if (this.received.size() == 1) {
+				exchange.getConnection().close();
+			}
+		};
+		try (ResendLines log = new ResendLines()) {
+			assertThat(this.vm.send(lookup("")).status(), is(200));
+			assertThat(log.lines, hasSize(1));
+			Map<String, String> line = log.lines.get(0);
+			assertThat(Set.of(line.get("from"), line.get("to")), is(Set.of("s-1", "s-2")));
+			assertThat(line, hasEntry("proof", "none, it may have run: no complete response from the service"));
+			assertThat(line, hasEntry("repeatable", "true"));
+			assertThat(this.received, everyItem(containsString(line.get("request"))));
+		}
+	}
+
+	@Test
+	void resendOfAnOrderIsLoggedWithTheProofThatItDidNotRun() throws Exception {
+		this.vm.close();
+		this.vm = new TestVm(TestVm.service("s-1", "127.0.0.1:1"), TestVm.service("s-2", address()));
+		try (ResendLines log = new ResendLines()) {
+			for (int i = 0; i < 4; i++) {
+				assertThat(this.vm.send(order("k" + i)).status(), is(201));
+			}
+			assertThat(log.lines, not(empty()));
+			assertThat(log.lines, everyItem(hasEntry("from", "s-1")));
+			assertThat(log.lines, everyItem(hasEntry("to", "s-2")));
+			assertThat(log.lines, everyItem(hasEntry("proof", "service cannot be reached")));
+			assertThat(log.lines, everyItem(hasEntry("repeatable", "false")));
+		}
+		assertThat(this.received, hasSize(4));
+	}
+
 	/**
 	 * Guards against an endpoint that receives a caller's key in a header or the query.
 	 */
