Test that a late reply of a VM is not the reply to the next request

Replies between VMs are bound to their requests by a correlation id that a connection never uses twice, and a request that timed out is forgotten. The test guards that, since a reply to a query about a claim can say that a call did not run.

--- a/server/src/test/java/org/banyanstile/server/vm/VmPeersTests.java
+++ b/server/src/test/java/org/banyanstile/server/vm/VmPeersTests.java
@@ -66,14 +66,15 @@
 		});
 		handlers.register(GrantRequest.class, (from, request) -> new GrantReply(request.needed() / 2, 2000, 0, 0, 1));
 		handlers.register(StreamTakeover.class, (from, request) -> {
-			try {
-				this.released.await();
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-			}
+			awaitRelease();
 			return null;
 		});
+		handlers.register(ClaimQuery.class, (from, query) -> {
+			if (query.keyHash().equals("late")) {
+				awaitRelease();
+			}
+			return new ClaimReply(query.keyHash(), 0, null, null);
+		});
 		VmPeers peers = VmPeers.create(new VmIdentity(VmId.of(vm), address, key), VmMessages.codec(), handlers);
 		peers.setHeartbeats(
 				() -> (to) -> new Heartbeat(VmId.of(vm), 3, 12, 1700, 800, VmState.LIVE, true, 1L << 39, 1L << 38));
@@ -82,6 +83,15 @@
 		return peers;
 	}
 
+	private void awaitRelease() {
+		try {
+			this.released.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private static void await(BooleanSupplier condition) throws InterruptedException {
 		long deadline = System.nanoTime() + TIMEOUT.toNanos();
 		while (!condition.getAsBoolean()) {
@@ -111,6 +121,24 @@
 				() -> a.request(VmId.of("vm-b"), new ConfigFetch(1), ConfigPush.class, TIMEOUT));
 	}
 
+	@Test
+	void lateReplyIsNotTheReplyToTheNextRequest() throws Exception {
+		String address = freeAddress();
+		start("vm-a", address, KEY);
+		VmPeers b = start("vm-b", freeAddress(), KEY);
+		b.setAddresses(List.of(address));
+		await(() -> b.connected().contains(VmId.of("vm-a")));
+		assertThrows(VmReplyTimeoutException.class, () -> query(b, "late", Duration.ofMillis(50)));
+		this.released.countDown();
+		for (int i = 0; i < 50; i++) {
+			assertThat(query(b, "k" + i, TIMEOUT).state(), equalTo("k" + i));
+		}
+	}
+
+	private static ClaimReply query(VmPeers peers, String key, Duration timeout) throws VmRequestException {
+		return peers.request(VmId.of("vm-a"), new ClaimQuery("team", key), ClaimReply.class, timeout);
+	}
+
 	@Test
 	void anotherFleetKeyIsRefusedByBothSides() throws Exception {
 		String address = freeAddress();
