Close connections that are used only once

What callers saw: nothing.

Cause: a request on a new connection put this connection into the pool after its response. No request of banyanstiled took it from there, and the daemon does not close idle ones.

Evidence: connectionIsClosedAfterItsReply, connectionIsClosedAfterItsResponse and the last line of ServiceTests.lateCopyOfARefusalIsNotTheRefusalOfAnotherCall failed before: connections were still open after 2 s.

Why it works: a discarded connection is closed with its response.

--- a/server/src/main/java/org/banyanstile/server/endpoint/EngineClient.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/EngineClient.java
@@ -76,8 +76,7 @@
 		body.put("prompt", call.prompt());
 		body.put("priority", call.priority());
 		HttpRequest request = HttpRequest.postJson(address, "/engine/v1/prefill", EndpointJson.write(body))
-			.withTimeout(PREFILL_TIMEOUT)
-			.withFreshConnection();
+			.withTimeout(PREFILL_TIMEOUT);
 		JsonNode result = EndpointJson.read(sendForText(request));
 		return new Prefill(result.path("prefillId").asText(), address, result.path("promptTokens").asInt());
 	}
@@ -96,10 +95,8 @@
 		body.put("source", prefill.source());
 		body.put("prefillId", prefill.prefillId());
 		HttpRequest request = HttpRequest.postJson(address, "/engine/v1/kv/import", EndpointJson.write(body))
-			.withTimeout(TRANSFER_STALL_TIMEOUT)
-			.withFreshConnection();
-		try (HttpResponse response = this.http.send(request)) {
-			requireSuccess(response);
+			.withTimeout(TRANSFER_STALL_TIMEOUT);
+		try (HttpResponse response = open(request)) {
 			awaitTransfer(response);
 		}
 		catch (ResponseTimeoutException ex) {
@@ -144,12 +141,9 @@
 		body.put("maxTokens", maxTokens);
 		body.put("fromOffset", fromOffset);
 		HttpRequest request = HttpRequest.postJson(address, "/engine/v1/decode", EndpointJson.write(body))
-			.withTimeout(wait)
-			.withFreshConnection();
+			.withTimeout(wait);
 		try {
-			HttpResponse response = this.http.send(request);
-			requireSuccess(response);
-			return response;
+			return open(request);
 		}
 		catch (HttpException ex) {
 			throw toEndpointException(ex);
@@ -177,8 +171,7 @@
 	public boolean cancel(String address, String requestId) {
 		HttpRequest request = HttpRequest
 			.postJson(address, "/engine/v1/cancel", EndpointJson.write(Map.of("requestId", requestId)))
-			.withTimeout(CONTROL_TIMEOUT)
-			.withFreshConnection();
+			.withTimeout(CONTROL_TIMEOUT);
 		try {
 			sendForText(request);
 			return true;
@@ -217,10 +210,8 @@
 		return EndpointJson.convert(EndpointJson.read(sendForText(request)), EngineLoad.class);
 	}
 
-	// A late copy of an earlier report on a pooled connection would name the old holder
-	// of a stream, which would then be cancelled.
 	private static HttpRequest report(String address, String path) {
-		return HttpRequest.get(address, path).withTimeout(CONTROL_TIMEOUT).withFreshConnection();
+		return HttpRequest.get(address, path).withTimeout(CONTROL_TIMEOUT);
 	}
 
 	private Map<String, Object> commonMembers(String requestId) {
@@ -231,8 +222,7 @@
 	}
 
 	private String sendForText(HttpRequest request) throws EndpointException {
-		try (HttpResponse response = this.http.send(request)) {
-			requireSuccess(response);
+		try (HttpResponse response = open(request)) {
 			return response.text(MAX_BODY_BYTES);
 		}
 		catch (HttpException ex) {
@@ -240,6 +230,16 @@
 		}
 	}
 
+	// A late copy of an earlier response on a pooled connection would look like a
+	// refusal,
+	// or name the old holder of a stream, which would then be cancelled.
+	private HttpResponse open(HttpRequest request) throws EndpointException, HttpException {
+		HttpResponse response = this.http.send(request.withFreshConnection());
+		response.discard();
+		requireSuccess(response);
+		return response;
+	}
+
 	private static void requireSuccess(HttpResponse response) throws EndpointException, HttpException {
 		if (response.status() != 200) {
 			try (response) {
--- a/server/src/test/java/org/banyanstile/server/LateCopyServer.java
+++ b/server/src/test/java/org/banyanstile/server/LateCopyServer.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * HTTP server that sends a second copy of each response where the next response on its
@@ -24,6 +25,8 @@
 	 */
 	public final List<String> received = new CopyOnWriteArrayList<>();
 
+	private final AtomicInteger connections = new AtomicInteger();
+
 	private final ServerSocket socket;
 
 	private final Behaviour behaviour;
@@ -81,6 +84,23 @@
 		return "127.0.0.1:" + this.socket.getLocalPort();
 	}
 
+	/**
+	 * Returns the number of open connections.
+	 * @return the number
+	 */
+	public int connections() {
+		return this.connections.get();
+	}
+
+	/**
+	 * Waits until all connections are closed.
+	 * @param server the server
+	 * @return whether they are closed within 2 s
+	 */
+	public static boolean awaitNoConnection(LateCopyServer server) {
+		return TestVm.await(2000, () -> server.connections() == 0);
+	}
+
 	private void accept() {
 		while (!this.socket.isClosed()) {
 			try {
@@ -94,6 +114,7 @@
 	}
 
 	private void serve(Socket accepted) {
+		this.connections.incrementAndGet();
 		try (accepted) {
 			InputStream in = new BufferedInputStream(accepted.getInputStream());
 			String copy = "";
@@ -113,6 +134,9 @@
 		catch (IOException ex) {
 			// The other side has closed the connection.
 		}
+		finally {
+			this.connections.decrementAndGet();
+		}
 	}
 
 	private static String read(InputStream in) throws IOException {
--- a/server/src/test/java/org/banyanstile/server/ServiceTests.java
+++ b/server/src/test/java/org/banyanstile/server/ServiceTests.java
@@ -210,6 +210,7 @@
 			assertThat(this.vm.send(order("i")).text(1000), is("ran"));
 			assertThat(this.vm.send(lookup("")).text(1000), is("ran"));
 			assertThat(copying.received, hasSize(before + 2));
+			assertThat("connections are closed", LateCopyServer.awaitNoConnection(copying), is(true));
 		}
 	}
 
--- a/server/src/test/java/org/banyanstile/server/endpoint/EngineClientTests.java
+++ b/server/src/test/java/org/banyanstile/server/endpoint/EngineClientTests.java
@@ -39,6 +39,17 @@
 		}
 	}
 
+	@Test
+	void connectionIsClosedAfterItsResponse() throws Exception {
+		try (LateCopyServer engine = LateCopyServer.start(EngineClientTests::respond)) {
+			this.client.load(engine.address());
+			this.client.streams(engine.address());
+			this.client.cancel(engine.address(), "r1");
+			this.client.prefill(engine.address(), new PrefillCall("r1", "writer", "one", 0));
+			assertThat(LateCopyServer.awaitNoConnection(engine), is(true));
+		}
+	}
+
 	private static String respond(String request) {
 		return LateCopyServer.response("200 OK", request.contains("/load") ? "{\"active\":1,\"capacity\":4}"
 				: "{\"streams\":[{\"requestId\":\"r1\",\"holder\":\"vm-2/1\",\"ageMillis\":5}]}");
--- a/server/src/test/java/org/banyanstile/server/platform/HttpTableStoreTests.java
+++ b/server/src/test/java/org/banyanstile/server/platform/HttpTableStoreTests.java
@@ -113,6 +113,18 @@
 		}
 	}
 
+	@Test
+	void connectionIsClosedAfterItsReply() throws Exception {
+		try (LateCopyServer table = LateCopyServer
+			.start((request) -> LateCopyServer.response("200 OK", "{\"rows\":[]}"))) {
+			HttpTableStore store = HttpTableStore.create(this.http, "http://" + table.address());
+			for (int i = 0; i < 3; i++) {
+				store.read(List.of("k"));
+			}
+			assertThat(LateCopyServer.awaitNoConnection(table), equalTo(true));
+		}
+	}
+
 	@Test
 	void replyOfAnotherOperationDoesNotShowThatARowIsAbsent() {
 		HttpTableStore committed = reply(200, "{\"versions\":{}}");
