--- a/server/src/main/java/org/banyanstile/server/caller/ServiceDispatch.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ServiceDispatch.java
@@ -3,10 +3,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 
+import org.banyanstile.core.attempt.RefusalStatus;
 import org.banyanstile.server.endpoint.EndpointBrokenException;
 import org.banyanstile.server.endpoint.EndpointUnreachableException;
 import org.banyanstile.server.endpoint.ServiceCall;
 import org.banyanstile.server.endpoint.ServiceResponse;
+import org.banyanstile.server.router.ResendLog;
 
 /**
  * Sends one call to the endpoints of a plain service. Used by one thread.
@@ -31,14 +33,17 @@
 
 	private final RequestLabels labels;
 
+	private final ResendLog resends;
+
 	ServiceDispatch(RequestServices services, SlotFinder finder, ServiceCall call, String requestId, long waitMillis,
-			RequestLabels labels) {
+			RequestLabels labels, ResendLog resends) {
 		this.services = services;
 		this.finder = finder;
 		this.call = call;
 		this.requestId = requestId;
 		this.waitMillis = waitMillis;
 		this.labels = labels;
+		this.resends = resends;
 	}
 
 	/**
@@ -87,9 +92,7 @@
 		if (response.status() < 400) {
 			return new CallOutcome.Answered(stored);
 		}
-		// After a 5xx status the call may have run, except after 503, which means that
-		// the endpoint is overloaded or in cold start.
-		return (response.status() < 500 || response.status() == 503) ? new CallOutcome.RefusedByEndpoint(stored)
+		return RefusalStatus.isProof(response.status()) ? new CallOutcome.RefusedByEndpoint(stored)
 				: new CallOutcome.OutcomeUnknown();
 	}
 
@@ -122,7 +125,7 @@
 	}
 
 	private static boolean isRetryable(RequestException ex) {
-		boolean serverRefusal = ex.run() == RunState.REFUSED_BY_ENDPOINT && (ex.status() == 429 || ex.status() >= 500);
+		boolean serverRefusal = ex.type() == ErrorType.ENDPOINT_REFUSED && (ex.status() == 429 || ex.status() >= 500);
 		return serverRefusal || ex.type() == ErrorType.OUTCOME_UNKNOWN || ex.type() == ErrorType.OVERLOADED;
 	}
 
@@ -134,7 +137,8 @@
 				return stored(response);
 			}
 			this.finder.exclude(slot.endpoint().id());
-			throw OnceOnlyOutcomes.refused(stored(response));
+			RequestException refusal = OnceOnlyOutcomes.refused(stored(response));
+			throw RefusalStatus.isProof(response.status()) ? refusal : refusal.afterAttempt();
 		}
 		catch (EndpointUnreachableException ex) {
 			this.finder.exclude(slot.endpoint().id());
@@ -155,20 +159,33 @@
 	private ServiceResponse send(SlotDecision.Granted slot)
 			throws EndpointUnreachableException, EndpointBrokenException {
 		SlotOutcome outcome = SlotOutcome.BROKEN;
+		String endpoint = slot.endpoint().id().name();
+		this.resends.begin(endpoint);
 		try {
 			ServiceResponse response = this.services.service().call(slot.endpoint().address(), this.call);
+			this.resends.end(endpoint, proof(response.status()));
 			outcome = (response.status() < 500) ? SlotOutcome.COMPLETED : SlotOutcome.FAILED;
 			return response;
 		}
 		catch (EndpointUnreachableException ex) {
+			this.resends.end(endpoint, ex.proof());
 			outcome = SlotOutcome.FAILED;
 			throw ex;
 		}
+		catch (EndpointBrokenException ex) {
+			this.resends.end(endpoint, ex.proof());
+			throw ex;
+		}
 		finally {
 			this.services.slots().release(slot, outcome);
 		}
 	}
 
+	private static String proof(int status) {
+		return RefusalStatus.isProof(status) ? "refused with " + status
+				: "none, it may have run: the service responded with " + status;
+	}
+
 	private static StoredAnswer stored(ServiceResponse response) {
 		return new StoredAnswer(response.status(), response.contentType(),
 				new String(response.body(), StandardCharsets.UTF_8));
--- a/server/src/test/java/org/banyanstile/server/ChatTests.java
+++ b/server/src/test/java/org/banyanstile/server/ChatTests.java
@@ -1,9 +1,12 @@
 package org.banyanstile.server;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 
+import io.undertow.server.HttpServerExchange;
 import org.banyanstile.config.Endpoint;
 import org.banyanstile.config.EndpointRole;
 import org.banyanstile.io.http.HttpException;
@@ -13,10 +16,13 @@
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasEntry;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
@@ -219,6 +225,118 @@
 		assertThat(this.decode.opened, contains(0L, 0L));
 	}
 
+	/**
+	 * Guards against a "not run" refusal of a request that the engine may have started.
+	 */
+	@Test
+	void refusalAfterABrokenDecodeDoesNotClaimThatTheRequestDidNotRun() throws Exception {
+		this.decode.decode = (exchange, id, from) -> {
+			if (this.decode.opened.size() == 1) {
+				exchange.getConnection().close();
+				return;
+			}
+			refuse(exchange, 503);
+		};
+		assertThat(this.vm.send(this.vm.chat(false)).text(1000), containsString("\"run\":\"unknown\""));
+	}
+
+	@Test
+	void serverErrorOfAnEngineDoesNotClaimThatTheRequestDidNotRun() throws Exception {
+		this.decode.decode = (exchange, id, from) -> refuse(exchange, 500);
+		assertThat(this.vm.send(this.vm.chat(false)).text(1000), containsString("\"run\":\"unknown\""));
+	}
+
+	@Test
+	void refusalByAllEnginesSaysThatTheRequestDidNotRun() throws Exception {
+		this.decode.decode = (exchange, id, from) -> refuse(exchange, 503);
+		assertThat(this.vm.send(this.vm.chat(false)).text(1000), containsString("\"run\":\"not_run\""));
+	}
+
+	@Test
+	void refusalAfterALostTakeoverDoesNotClaimThatTheRequestDidNotRun() throws Exception {
+		this.decode.decode = (exchange, id, from) -> {
+			if (this.decode.opened.size() == 1) {
+				FakeEngine.word(exchange, id, 0);
+				this.decode.silence();
+				return;
+			}
+			refuse(exchange, (this.decode.opened.size() == 2) ? 404 : 503);
+		};
+		HttpRequest request = this.vm.chat(true).withHeader("Idempotency-Key", "d");
+		try (HttpResponse first = this.vm.send(request)) {
+			assertThat(first.line(1000), is("id: 0"));
+			assertThat(this.vm.send(request).text(1000), containsString("\"run\":\"unknown\""));
+		}
+	}
+
+	@Test
+	void refusalOfARetryDoesNotClaimThatTheRequestWasRefused() throws Exception {
+		this.decode.decode = (exchange, id, from) -> {
+			if (this.decode.opened.size() == 1) {
+				exchange.getConnection().close();
+				return;
+			}
+			refuse(exchange, 400);
+		};
+		HttpResponse response = this.vm.send(this.vm.chat(false));
+		assertThat(response.status(), is(400));
+		assertThat(response.text(1000), containsString("\"run\":\"unknown\""));
+	}
+
+	/**
+	 * Guards against a refusal of a request that ran, and against a second run of it.
+	 */
+	@Test
+	void lateCopyOfARefusalIsNotTheRefusalOfAnotherRequest() throws Exception {
+		AtomicBoolean refusing = new AtomicBoolean(true);
+		String refusal = LateCopyServer.response("503 Service Unavailable", "{\"error\":\"full\"}");
+		try (LateCopyServer engine = LateCopyServer.start((request) -> {
+			boolean refused = refusing.get() && !request.contains("/cancel");
+			return refused ? refusal : engineReply(request);
+		})) {
+			this.vm.close();
+			this.vm = new TestVm(TestVm.engine("p-1", EndpointRole.PREFILL, engine.address()),
+					TestVm.engine("d-1", EndpointRole.DECODE, engine.address()));
+			assertThat(this.vm.send(this.vm.chat(false)).status(), is(503));
+			refusing.set(false);
+			engine.received.clear();
+			assertThat(stream(this.vm.chat(true)), is("w0 DONE"));
+			assertThat(engine.received.stream().filter((request) -> !request.contains("/cancel")).toList(), hasSize(3));
+		}
+	}
+
+	private static String engineReply(String request) {
+		String id = request.replaceAll("(?s).*\"requestId\":\"([^\"]+)\".*", "$1");
+		if (request.contains("/decode")) {
+			return LateCopyServer.response("200 OK", "{\"requestId\":\"" + id + "\",\"offset\":0,\"text\":\"w0 \"}\n"
+					+ "{\"requestId\":\"" + id + "\",\"offset\":1,\"finish\":\"stop\"}\n");
+		}
+		return LateCopyServer.response("200 OK",
+				request.contains("/import") ? "{\"done\":true}\n" : "{\"prefillId\":\"p1\",\"promptTokens\":3}");
+	}
+
+	@Test
+	void resendIsLoggedWithBothEndpointsAndTheProofThatTheRequestDidNotRun() throws Exception {
+		this.decode.decode = (exchange, id, from) -> {
+			if (this.decode.opened.size() == 1) {
+				refuse(exchange, 503);
+				return;
+			}
+			this.decode.answer(exchange, id, from);
+		};
+		try (ResendLines log = new ResendLines()) {
+			assertThat(stream(this.vm.chat(true)), is("w0 w1 w2 w3 w4 DONE"));
+			assertThat(log.lines.toString(), log.lines, hasItem(allOf(hasEntry("stage", "decode"),
+					hasEntry("from", "d-1"), hasEntry("to", "d-1"), hasEntry("proof", "status 503: refused"))));
+			assertThat(log.lines, hasItem(allOf(hasEntry("stage", "prefill"), hasEntry("proof", "none, it ran"))));
+		}
+	}
+
+	private static void refuse(HttpServerExchange exchange, int status) throws IOException {
+		exchange.setStatusCode(status);
+		FakeEngine.send(exchange, "{\"error\":\"refused\"}");
+	}
+
 	@Test
 	void refusesAReusedKeyAndALostStream() throws Exception {
 		HttpRequest request = this.vm.chat(true).withHeader("Idempotency-Key", "b");
