Report unusable addresses as failed connections

What callers saw: a VM closed each connection whose request was to go to an address with a port above 65,535.

Cause: HttpClient.connect passed the IllegalArgumentException of URI and InetSocketAddress on, which no caller of HttpClient handles.

Evidence: HttpClientTests.reportsAnUnusableAddressAsNotSent failed before: "127.0.0.1:65536 ==> Unexpected exception type thrown, expected: ConnectFailedException but was: IllegalArgumentException".

Change: the client opens connections to host:port with a port of 1 to 65,535 only, and reports anything else as ConnectFailedException.

Why it works: nothing is sent before a connection is open, and callers take ConnectFailedException for the proof of that.

Result: the test passes with its 15 addresses.

--- a/io/src/main/java/org/banyanstile/io/http/HttpClient.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpClient.java
@@ -43,6 +43,8 @@
 
 	private static final int MAX_IDLE_PER_PEER = 8;
 
+	private static final int MAX_PORT = 65_535;
+
 	private final XnioWorker worker;
 
 	private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
@@ -77,8 +79,8 @@
 	 * Sends a request and waits for the head of the response.
 	 * @param request the request
 	 * @return the response, which the caller must close
-	 * @throws ConnectFailedException if no connection was established, so nothing was
-	 * sent
+	 * @throws ConnectFailedException if no connection was established, for example since
+	 * the address is not usable, so nothing was sent
 	 * @throws HttpException if no response head arrived
 	 */
 	public HttpResponse send(HttpRequest request) throws HttpException {
@@ -194,9 +196,7 @@
 
 	private HttpConnection connect(String address, Duration timeout) throws ConnectFailedException {
 		ResponseOverhead overhead = new ResponseOverhead();
-		IoFuture<ClientConnection> future = UndertowClient.getInstance()
-			.connect(URI.create("http://" + address), new CountingIoThread(this.worker.getIoThread(), overhead),
-					this.buffers, OptionMap.EMPTY);
+		IoFuture<ClientConnection> future = open(address, overhead);
 		if (future.await(timeout.toMillis(), TimeUnit.MILLISECONDS) != IoFuture.Status.DONE) {
 			future.cancel();
 			// The connection can be established between the timeout and the
@@ -212,6 +212,28 @@
 		}
 	}
 
+	private IoFuture<ClientConnection> open(String address, ResponseOverhead overhead) throws ConnectFailedException {
+		try {
+			return UndertowClient.getInstance()
+				.connect(uri(address), new CountingIoThread(this.worker.getIoThread(), overhead), this.buffers,
+						OptionMap.EMPTY);
+		}
+		catch (IllegalArgumentException ex) {
+			throw new ConnectFailedException("no connection to " + address + ", which is not a usable address", ex);
+		}
+	}
+
+	// The comparison excludes addresses that a URI takes for more than a host and a port.
+	private static URI uri(String address) {
+		URI uri = URI.create("http://" + address);
+		boolean valid = uri.getPort() > 0 && uri.getPort() <= MAX_PORT
+				&& address.equals(uri.getHost() + ':' + uri.getPort());
+		if (!valid) {
+			throw new IllegalArgumentException("address '" + address + "' is not of the form host:port");
+		}
+		return uri;
+	}
+
 	private static @Nullable IOException failure(IoFuture<ClientConnection> future) {
 		return (future.getStatus() == IoFuture.Status.FAILED) ? future.getException() : null;
 	}
--- a/io/src/test/java/org/banyanstile/io/http/HttpClientTests.java
+++ b/io/src/test/java/org/banyanstile/io/http/HttpClientTests.java
@@ -106,6 +106,16 @@
 		assertThrows(ConnectFailedException.class, () -> this.client.send(HttpRequest.get("127.0.0.1:" + port, "/")));
 	}
 
+	@Test
+	void reportsAnUnusableAddressAsNotSent() {
+		for (String address : List.of("127.0.0.1:65536", "127.0.0.1:99999999999", "127.0.0.1:0", "127.0.0.1:-1",
+				"127.0.0.1", "127.0.0.1:", ":80", "", "300.1.1.1:80", "[::1", "::1:80", "a b:80", "a\r\nb:80",
+				"127.0.0.1:80/x", "user@127.0.0.1:80")) {
+			HttpRequest request = HttpRequest.get(address, "/").withTimeout(Duration.ofSeconds(1));
+			assertThrows(ConnectFailedException.class, () -> this.client.send(request), address);
+		}
+	}
+
 	@Test
 	void doesNotReuseAConnectionWithUnreadBytes() throws Exception {
 		String address = serve((exchange) -> exchange.getOutputStream()
