Answer requests also after an unexpected exception

What callers saw: a closed connection in place of a response.

Cause: RequestIntake closed the connection on any RuntimeException, also if it knew that nothing had been sent to an endpoint.

Evidence: RouterTests.requestIsAnsweredWhenServingItFailsUnexpectedly failed before: "Expected: is <503> but: was <0>", which is a connection closed without a response.

Change: 503 if no attempt was started, 502 if one may have run. A response that has begun is still broken off.

Result: the test passes.

--- a/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
+++ b/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
@@ -261,11 +261,18 @@
 
 	private void run(RouterCall call, ServedService service) throws RejectionException, IOException {
 		EngineTraits engine = service.engine();
-		if (engine != null) {
-			GenerationRun.create(this.services, call, engine).serve();
+		try {
+			if (engine != null) {
+				GenerationRun.create(this.services, call, engine).serve();
+			}
+			else {
+				PlainRun.create(this.services, call).serve();
+			}
 		}
-		else {
-			PlainRun.create(this.services, call).serve();
+		catch (RuntimeException ex) {
+			this.services.log().problem("request " + call.id() + " failed", ex);
+			throw call.isSent() ? RejectionException.unknownOutcome("internal error after the request was sent")
+					: RejectionException.notRun("internal error before the request was sent", RETRY_AFTER_SECONDS);
 		}
 	}
 
--- a/server/src/main/java/org/banyanstile/server/router/RouterCall.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterCall.java
@@ -125,6 +125,15 @@
 		return this.addresses.contains(address);
 	}
 
+	/**
+	 * Returns whether an attempt was or may have been sent to any address. Used by the
+	 * thread that serves the request.
+	 * @return whether one may have been
+	 */
+	boolean isSent() {
+		return !this.addresses.isEmpty();
+	}
+
 	void recordSent(String address) {
 		this.addresses.add(address);
 	}
