Apply the other changes of a read when one row cannot be decoded

What callers saw: in the worst case a VM that misses new endpoints, removals or an evacuation until those rows change again.

Cause: FleetView handled MalformedRowException only. Any other exception or a StackOverflowError left it after the replica had counted all rows of the read as applied; FleetReader went on, but the other rows were not read again.

Evidence: FleetReaderTests.rowWhoseDecodingFailsDoesNotHideChangesOfOtherRows failed before: "condition not met in time". No row of the store is known for which the decoder throws another exception.

Change: these exceptions count as a malformed row.

Result: the test passes for a RuntimeException and a StackOverflowError, in both tables.

--- a/server/src/main/java/org/banyanstile/server/view/FleetView.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetView.java
@@ -249,7 +249,7 @@
 				this.log.stateChange("configuration", "version", next.version(), "row", row.version());
 			}
 		}
-		catch (MalformedRowException ex) {
+		catch (MalformedRowException | RuntimeException | StackOverflowError ex) {
 			this.log.problem("malformed configuration row; the previous version stays in force", ex);
 		}
 	}
@@ -289,7 +289,9 @@
 						endpoint.ready(), "phase", endpoint.role());
 			}
 		}
-		catch (MalformedRowException ex) {
+		catch (MalformedRowException | RuntimeException | StackOverflowError ex) {
+			// The replica counts the row as applied, so throwing an exception would lose
+			// the other changes of the read.
 			this.endpoints.remove(id);
 			this.log.problem("malformed entry of endpoint " + id + "; the endpoint gets no work", ex);
 		}
--- a/server/src/test/java/org/banyanstile/server/view/FleetReaderTests.java
+++ b/server/src/test/java/org/banyanstile/server/view/FleetReaderTests.java
@@ -1,10 +1,16 @@
 package org.banyanstile.server.view;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 
 import org.banyanstile.core.catalog.Catalog;
+import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.common.Ticker;
 import org.banyanstile.core.replica.ReplicaRow;
@@ -28,6 +34,8 @@
 	 */
 	private static final long APPLY_MILLIS = 1800;
 
+	private static final long AWAIT_NANOS = 5_000_000_000L;
+
 	@Test
 	void vmPollsTheStoreInTimeWhenThePollingVmIsRejected() throws Exception {
 		CountingSource source = new CountingSource();
@@ -67,12 +75,115 @@
 		}
 	}
 
+	@Test
+	void rowWhoseDecodingFailsDoesNotHideChangesOfOtherRows() throws Exception {
+		for (Throwable failure : List.of(new StackOverflowError("test"), new IllegalStateException("test"))) {
+			RowSource source = new RowSource();
+			source.put("a-odd", "b", "c");
+			FleetView view = FleetView.create(new FailingDecoder(failure), Ticker.system(), DecisionLog.create());
+			try (FleetReader reader = FleetReader.create(source, view, () -> 0, DecisionLog.create())) {
+				reader.start();
+				await(() -> view.snapshot().all().keySet().equals(Set.of("b", "c")));
+				source.put("a-odd", "d");
+				await(() -> view.snapshot().all().keySet().equals(Set.of("b", "c", "d")));
+				source.put("a-odd", "evacuate/dc");
+				await(() -> view.snapshot().evacuated().equals(Set.of("dc")));
+			}
+		}
+	}
+
+	private static void await(BooleanSupplier condition) throws InterruptedException {
+		long end = System.nanoTime() + AWAIT_NANOS;
+		while (!condition.getAsBoolean()) {
+			assertThat("condition not met in time", System.nanoTime() - end < 0, is(true));
+			Thread.sleep(10);
+		}
+	}
+
+	/**
+	 * Store whose tables both hold the rows that a test puts.
+	 *
+	 * @author banyanstile contributors
+	 */
+	private static final class RowSource extends EmptySource {
+
+		private final Map<String, ReplicaRow> rows = new TreeMap<>();
+
+		private long version;
+
+		private synchronized void put(String... keys) {
+			this.version++;
+			for (String key : keys) {
+				this.rows.put(key, new ReplicaRow(key, this.version, key.getBytes(StandardCharsets.UTF_8)));
+			}
+		}
+
+		@Override
+		public synchronized TableRead readAll(FleetTable table) {
+			return changes(table, -1, Duration.ZERO);
+		}
+
+		@Override
+		public synchronized TableRead changes(FleetTable table, long after, Duration wait) {
+			List<ReplicaRow> changed = this.rows.values().stream().filter((row) -> row.version() > after).toList();
+			return new TableRead(changed, this.version, System.nanoTime() / 1_000_000);
+		}
+
+	}
+
+	/**
+	 * Decoder that fails in an unexpected way on one row.
+	 *
+	 * @author banyanstile contributors
+	 */
+	private static final class FailingDecoder implements RowDecoder {
+
+		private final Throwable failure;
+
+		private FailingDecoder(Throwable failure) {
+			this.failure = failure;
+		}
+
+		private void failOn(String key) {
+			if (!key.equals("a-odd")) {
+				return;
+			}
+			if (this.failure instanceof Error error) {
+				throw error;
+			}
+			throw (RuntimeException) this.failure;
+		}
+
+		@Override
+		public boolean isCatalog(String key) {
+			return key.equals("a-odd");
+		}
+
+		@Override
+		public String evacuatedDataCentre(String key) {
+			return key.startsWith("evacuate/") ? key.substring("evacuate/".length()) : null;
+		}
+
+		@Override
+		public Catalog decodeCatalog(byte[] value) {
+			failOn("a-odd");
+			throw new IllegalStateException("unreachable");
+		}
+
+		@Override
+		public RegisteredEndpoint decodeEndpoint(String id, byte[] value) {
+			failOn(id);
+			return new RegisteredEndpoint(id, "desk", "127.0.0.1:1", "dc-1", EndpointRole.PLAIN, true, 1, 0, 0);
+		}
+
+	}
+
 	/**
 	 * Store that counts calls and whose version a test sets.
 	 *
 	 * @author banyanstile contributors
 	 */
-	private static final class CountingSource implements TableSource {
+	private static final class CountingSource extends EmptySource {
 
 		private final AtomicInteger calls = new AtomicInteger();
 
@@ -94,6 +205,15 @@
 			return read();
 		}
 
+	}
+
+	/**
+	 * Store without rows of VMs.
+	 *
+	 * @author banyanstile contributors
+	 */
+	private abstract static class EmptySource implements TableSource {
+
 		@Override
 		public void register(String vm, String peerAddress) {
 			// Other VMs are not part of these tests.
