Send the state to all VMs whose address can be used

What callers saw: nothing yet. A VM whose list of addresses holds one that cannot be parsed or resolved sent nothing to the addresses after it, in each round.

Cause: the IllegalArgumentException ended the round.

Evidence: GossipNodeTests.unusableAddressOfAVmDoesNotKeepOthersFromGettingTheState failed before: "condition not met in time" (10 s).

Change: the exception is handled for each address.

Result: the test passes.

--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -210,7 +210,7 @@
 			ByteBuffer datagram = ByteBuffer
 				.wrap(this.codec.encode(new Message(Message.ONE_WAY, state(withMembers, false))));
 			for (String target : targets) {
-				send(datagram.duplicate(), Addresses.parse(target));
+				sendTo(target, datagram.duplicate());
 			}
 		}
 		catch (IOException ex) {
@@ -218,6 +218,15 @@
 		}
 	}
 
+	private void sendTo(String target, ByteBuffer datagram) {
+		try {
+			send(datagram, Addresses.parse(target));
+		}
+		catch (IllegalArgumentException ex) {
+			this.log.problem("a VM has no usable address: " + target, ex);
+		}
+	}
+
 	private GossipState state(boolean withMembers, boolean reply) {
 		List<Long> versions = new ArrayList<>();
 		List<Long> millis = new ArrayList<>();
--- a/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
@@ -95,6 +95,14 @@
 		await(() -> two.view.version(FleetTable.ENDPOINTS) == 2);
 	}
 
+	@Test
+	void unusableAddressOfAVmDoesNotKeepOthersFromGettingTheState() throws Exception {
+		Vm one = start("vm-1");
+		Vm two = start("vm-2");
+		two.node.setSeeds(List.of("!nowhere", "!nowhere:7001", "!127.0.0.1:70000", "!127.0.0.1:x", one.address));
+		await(() -> one.knows("vm-2") && two.knows("vm-1"));
+	}
+
 	/**
 	 * An error of one round or one datagram ends neither thread.
 	 * @throws Exception if a node cannot be started
