Ignore rows of VMs with an invalid name

What callers saw: nothing yet. With one such row in the table of VMs, a VM did not register and learned no VM from the table.

Cause: VmId rejects the name, and the exception ended VmRegistration.reconcile.

Evidence: VmRegistrationTests.rowWithAnInvalidNameDoesNotHideOtherRows failed before: "IllegalArgument invalid name ''".

Change: such rows are skipped with a log line.

Result: the test passes.

--- a/server/src/main/java/org/banyanstile/server/gossip/VmRegistration.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/VmRegistration.java
@@ -109,7 +109,7 @@
 	 */
 	List<String> reconcile() throws TableSourceException {
 		GossipMember self = this.membership.self();
-		List<VmRow> rows = this.source.registered();
+		List<VmRow> rows = this.source.registered().stream().filter(this::isNamed).toList();
 		boolean hasOwnRow = rows.stream()
 			.anyMatch((row) -> row.vm().equals(self.vm()) && row.peerAddress().equals(self.peerAddress()));
 		if (!hasOwnRow) {
@@ -128,6 +128,17 @@
 		return rows.stream().filter((row) -> !missing.contains(VmId.of(row.vm()))).map(VmRow::peerAddress).toList();
 	}
 
+	private boolean isNamed(VmRow row) {
+		try {
+			VmId.of(row.vm());
+			return true;
+		}
+		catch (IllegalArgumentException ex) {
+			this.log.problem("ignored a VM row of the store", ex);
+			return false;
+		}
+	}
+
 	private synchronized Set<VmId> updateRegistered(List<VmRow> rows) {
 		long now = this.ticker.nanos();
 		Set<VmId> alive = new HashSet<>();
--- a/server/src/test/java/org/banyanstile/server/gossip/VmRegistrationTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/VmRegistrationTests.java
@@ -85,6 +85,15 @@
 		assertThat(this.registration.others(), contains("vm1"));
 	}
 
+	@Test
+	void rowWithAnInvalidNameDoesNotHideOtherRows() throws Exception {
+		this.source.rows.add(new VmRow("", "127.0.0.1:4", 100));
+		this.source.rows.add(new VmRow("vm 4", "127.0.0.1:4", 101));
+		this.source.add("vm3");
+		assertThat(this.registration.reconcile(), containsInAnyOrder(address("vm3")));
+		assertThat(this.registration.others(), containsInAnyOrder("vm3"));
+	}
+
 	@Test
 	void vmWritesItsRowAgainAfterItWasRemoved() throws Exception {
 		this.registration.reconcile();
