Log a malformed entry once and in a bounded line

What operators saw: a line for each renewal of a malformed entry; by the code, its texts in full.

Evidence: FleetViewTests.malformedEntryIsLoggedOnceAndInABoundedLine failed before: "Expected: a collection with size <2> but: collection size was <6>".

Change: an entry is logged when it becomes malformed, or at its next renewal if the limit of lines was reached. DecisionLog cuts each value at 1,000 characters.

Result: the test passes.

--- a/server/src/main/java/org/banyanstile/server/router/DecisionLog.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecisionLog.java
@@ -36,6 +36,12 @@
 	 */
 	private static final int MAX_RESEND_LINES = 40;
 
+	/**
+	 * Longest value in a line. Others write some of the values, for example rows of the
+	 * store.
+	 */
+	private static final int MAX_VALUE_CHARS = 1000;
+
 	private static final Logger logger = LogManager.getLogger("decisions");
 
 	private final RateLimit requests = new RateLimit(MAX_REQUEST_LINES);
@@ -107,11 +113,14 @@
 	 * Logs an error that was handled.
 	 * @param what what failed and with what effect
 	 * @param cause the error
+	 * @return whether the line was written, {@code false} if it exceeded the maximum rate
 	 */
-	public void problem(String what, Throwable cause) {
-		if (this.problems.tryAcquire()) {
-			write(this.problems, "problem", null, null, "what", what, "cause", cause.toString());
+	public boolean problem(String what, Throwable cause) {
+		if (!this.problems.tryAcquire()) {
+			return false;
 		}
+		write(this.problems, "problem", null, null, "what", what, "cause", cause.toString());
+		return true;
 	}
 
 	/**
@@ -123,15 +132,19 @@
 		return this.suppressedLines.get();
 	}
 
+	private static String bounded(String value) {
+		return (value.length() <= MAX_VALUE_CHARS) ? value : value.substring(0, MAX_VALUE_CHARS) + "...";
+	}
+
 	private static void write(@Nullable RateLimit limit, String event, @Nullable String idName, @Nullable String id,
 			@Nullable Object... fields) {
 		StringMapMessage message = new StringMapMessage(fields.length / 2 + 3);
 		message.put("event", event);
 		if (idName != null && id != null) {
-			message.put(idName, id);
+			message.put(idName, bounded(id));
 		}
 		for (int i = 0; i + 1 < fields.length; i += 2) {
-			message.put(String.valueOf(fields[i]), String.valueOf(fields[i + 1]));
+			message.put(String.valueOf(fields[i]), bounded(String.valueOf(fields[i + 1])));
 		}
 		long suppressed = (limit != null) ? limit.drainSuppressed() : 0;
 		if (suppressed > 0) {
--- a/server/src/main/java/org/banyanstile/server/view/FleetView.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetView.java
@@ -52,6 +52,12 @@
 
 	private final Map<String, RegisteredEndpoint> endpoints = new HashMap<>();
 
+	/**
+	 * Endpoints whose malformed entry has been logged. Its writer may renew it each
+	 * second.
+	 */
+	private final Set<String> malformed = new HashSet<>();
+
 	private final Map<String, Long> keptUntil = new HashMap<>();
 
 	private final Map<String, Long> coldUntil = new HashMap<>();
@@ -260,6 +266,7 @@
 			ReplicaRow row = replica.row(id);
 			RegisteredEndpoint old = this.endpoints.get(id);
 			if (row == null || row.value() == null) {
+				this.malformed.remove(id);
 				if (old != null && old.ready() && !this.keptUntil.containsKey(id)) {
 					removed.put(id, old);
 				}
@@ -278,6 +285,7 @@
 		try {
 			RegisteredEndpoint endpoint = this.decoder.decodeEndpoint(id, value);
 			this.endpoints.put(id, endpoint);
+			this.malformed.remove(id);
 			if (endpoint.coldMillis() > 0) {
 				this.coldUntil.put(id, this.ticker.nanos() + endpoint.coldMillis() * 1_000_000);
 			}
@@ -293,7 +301,10 @@
 			// The replica counts the row as applied, so throwing an exception would lose
 			// the other changes of the read.
 			this.endpoints.remove(id);
-			this.log.problem("malformed entry of endpoint " + id + "; the endpoint gets no work", ex);
+			if (!this.malformed.contains(id)
+					&& this.log.problem("malformed entry of endpoint " + id + "; the endpoint gets no work", ex)) {
+				this.malformed.add(id);
+			}
 		}
 	}
 
--- a/server/src/test/java/org/banyanstile/server/view/FleetViewTests.java
+++ b/server/src/test/java/org/banyanstile/server/view/FleetViewTests.java
@@ -11,11 +11,14 @@
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.replica.ReplicaRow;
 import org.banyanstile.server.router.DecisionLog;
+import org.banyanstile.server.router.LogRecorder;
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 /**
  * Tests for {@link FleetView}.
@@ -129,6 +132,21 @@
 		assertThat(usable(), hasSize(1));
 	}
 
+	@Test
+	void malformedEntryIsLoggedOnceAndInABoundedLine() {
+		try (LogRecorder recorder = LogRecorder.start()) {
+			for (int i = 0; i < 5; i++) {
+				put(FleetTable.ENDPOINTS, "e-odd", "odd".repeat(20_000));
+			}
+			put(FleetTable.ENDPOINTS, "e-odd", "ready");
+			put(FleetTable.ENDPOINTS, "e-odd", "odd again");
+			List<String> lines = recorder.lines("malformed entry of endpoint e-odd");
+			assertThat(lines, hasSize(2));
+			assertThat(lines.get(0).length(), is(lessThan(3000)));
+			assertThat(lines.get(1), containsString("odd again"));
+		}
+	}
+
 	/**
 	 * Guards against sending a whole table as changes: the receiver would keep rows whose
 	 * removals the sender no longer stores.
@@ -178,8 +196,12 @@
 		}
 
 		@Override
-		public RegisteredEndpoint decodeEndpoint(String id, byte[] value) {
-			boolean ready = new String(value, StandardCharsets.UTF_8).equals("ready");
+		public RegisteredEndpoint decodeEndpoint(String id, byte[] value) throws MalformedRowException {
+			String text = new String(value, StandardCharsets.UTF_8);
+			if (text.startsWith("odd")) {
+				throw new MalformedRowException("unknown state " + text, null);
+			}
+			boolean ready = text.equals("ready");
 			return new RegisteredEndpoint(id, "desk", "10.0.0.1:80", "dc1", EndpointRole.PLAIN, ready, 6, 0, 0);
 		}
 
