Read on when an entry of the VM list has an invalid name

What operators saw: a VM that took the whole list for unreadable, without a log line.

Cause: VmId rejects the name, and VmListClient returned no list.

Evidence: VmListClientTests.entryWithAnInvalidNameDoesNotHideOtherEntries failed before: "Expected: is <Optional[[vm-1]]> but: was <Optional.empty>".

Change: such entries are skipped with a log line.

Result: the test passes.

--- a/server/src/main/java/org/banyanstile/server/platform/VmListClient.java
+++ b/server/src/main/java/org/banyanstile/server/platform/VmListClient.java
@@ -8,6 +8,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.banyanstile.core.common.VmId;
 import org.banyanstile.io.http.HttpClient;
 import org.banyanstile.io.http.HttpException;
@@ -21,6 +23,8 @@
  */
 public final class VmListClient {
 
+	private static final Logger logger = LogManager.getLogger(VmListClient.class);
+
 	private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
 	private static final int MAX_BYTES = 4 * 1024 * 1024;
@@ -71,8 +75,14 @@
 		}
 		List<ListedVm> vms = new ArrayList<>();
 		for (JsonNode vm : body.path("vms")) {
-			vms.add(new ListedVm(VmId.of(vm.path("name").asText()), vm.path("address").asText(),
-					"leaving".equals(vm.path("state").asText())));
+			try {
+				String name = vm.path("name").isTextual() ? vm.path("name").asText() : "";
+				vms.add(new ListedVm(VmId.of(name), vm.path("address").asText(),
+						"leaving".equals(vm.path("state").asText())));
+			}
+			catch (IllegalArgumentException ex) {
+				logger.warn("ignored an entry of the VM list: {}", ex.getMessage());
+			}
 		}
 		return vms;
 	}
