Send no line breaks in header fields and targets

What endpoints would see: fields or requests that no one sent, if an id or a handle that an endpoint names holds a line break.

Cause: Undertow's client writes targets and fields without a check, and only the low byte of each character.

Evidence: HttpClientTests.doesNotSendALineBreakInAFieldOrTarget failed before: "Expected ConnectFailedException to be thrown, but nothing was thrown".

Change: HttpClient rejects CR, LF, NUL and characters above U+00FF before it opens a connection.

Result: the test passes.

--- a/io/src/main/java/org/banyanstile/io/http/HttpClient.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpClient.java
@@ -43,6 +43,8 @@
 
 	private static final int MAX_IDLE_PER_PEER = 8;
 
+	private static final int MAX_CHARACTER = 0xff;
+
 	private static final int MAX_PORT = 65_535;
 
 	private final XnioWorker worker;
@@ -98,6 +100,7 @@
 	 * @throws HttpException if no response head arrived
 	 */
 	public HttpResponse send(HttpRequest request, CallHandle handle) throws HttpException {
+		requireSendable(request);
 		HttpConnection connection = connection(request);
 		boolean done = false;
 		try {
@@ -118,6 +121,25 @@
 		}
 	}
 
+	private static void requireSendable(HttpRequest request) throws ConnectFailedException {
+		boolean sendable = isSendable(request.path());
+		for (Map.Entry<String, String> header : request.headers().entrySet()) {
+			sendable &= isSendable(header.getKey()) && isSendable(header.getValue());
+		}
+		if (!sendable) {
+			throw new ConnectFailedException(
+					"the request to " + request.address()
+							+ " was not sent, since its target or a header field holds a character that HTTP forbids",
+					null);
+		}
+	}
+
+	// Undertow writes the low byte of each character, which can be a line break also if
+	// the character is none.
+	private static boolean isSendable(String text) {
+		return text.chars().noneMatch((c) -> c == '\r' || c == '\n' || c == 0 || c > MAX_CHARACTER);
+	}
+
 	private HttpResponse exchange(HttpRequest request, HttpConnection connection, CallHandle handle)
 			throws IOException, HttpException {
 		CompletableFuture<ResponseStart> responseStart = new CompletableFuture<>();
--- a/io/src/test/java/org/banyanstile/io/http/HttpClientTests.java
+++ b/io/src/test/java/org/banyanstile/io/http/HttpClientTests.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -23,6 +24,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.nullValue;
@@ -116,6 +118,23 @@
 		}
 	}
 
+	@Test
+	void doesNotSendALineBreakInAFieldOrTarget() throws Exception {
+		List<String> received = new CopyOnWriteArrayList<>();
+		String address = serve((exchange) -> received.add(exchange.getRequestURI() + exchange.getRequestHeaders()));
+		for (String breaks : List.of("\r\n", "\n", "\r", "\u010d\u010a", "\u560d\u560a", "\u0000")) {
+			for (HttpRequest request : List.of(HttpRequest.get(address, "/").withHeader("A", "a" + breaks + "B: b"),
+					HttpRequest.get(address, "/").withHeader("A" + breaks + "B", "b"),
+					HttpRequest.get(address, "/a" + breaks + "B: b"))) {
+				assertThrows(ConnectFailedException.class,
+						() -> this.client.send(request.withTimeout(Duration.ofSeconds(1))), request.toString());
+			}
+		}
+		assertThat(received, is(empty()));
+		this.client.send(HttpRequest.get(address, "/a%0d%0a").withHeader("A", "caf\u00e9\t")).close();
+		assertThat(received.size(), is(1));
+	}
+
 	@Test
 	void doesNotReuseAConnectionWithUnreadBytes() throws Exception {
 		String address = serve((exchange) -> exchange.getOutputStream()
