Pass a large malformed entry on without its value

What callers saw: nothing yet. A malformed entry of 64 KB in the store made the datagram with the changed rows too large, so other VMs got none of these rows from it and had to read the store themselves.

Cause: GossipNode sends all rows that a VM lacks in one datagram of at most 60,000 bytes.

Evidence: GossipNodeTests.largeMalformedRowDoesNotHideOtherRowsFromOtherVms failed before: "condition not met in time" (10 s).

Change: FleetView passes a malformed entry of more than 2,048 bytes on as an empty one of the same version.

Why it works: an empty entry names no endpoint either.

Result: the test passes.

--- a/server/src/main/java/org/banyanstile/server/view/FleetView.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetView.java
@@ -42,6 +42,13 @@
 	 */
 	static final double MASS_EXPIRY_SHARE = 0.75;
 
+	/**
+	 * Longest malformed entry that other VMs receive with its value; they get a longer
+	 * one empty, since it would not fit into a datagram with the other rows. Several
+	 * times the size of a sound entry.
+	 */
+	private static final int MAX_MALFORMED_BYTES = 2048;
+
 	private final RowDecoder decoder;
 
 	private final Ticker ticker;
@@ -193,7 +200,14 @@
 		TableReplica replica = replica(table);
 		boolean whole = !replica.retainsChangesAfter(after);
 		Collection<ReplicaRow> rows = whole ? replica.rows() : replica.changesAfter(after);
-		return new MissingRows(whole, new TableRead(List.copyOf(rows), replica.complete(), replica.storeMillis()));
+		List<ReplicaRow> bounded = rows.stream().map((row) -> withBoundedValue(table, row)).toList();
+		return new MissingRows(whole, new TableRead(bounded, replica.complete(), replica.storeMillis()));
+	}
+
+	private ReplicaRow withBoundedValue(FleetTable table, ReplicaRow row) {
+		boolean dropped = table == FleetTable.ENDPOINTS && row.value() != null
+				&& row.value().length > MAX_MALFORMED_BYTES && !this.endpoints.containsKey(row.key());
+		return dropped ? new ReplicaRow(row.key(), row.version(), new byte[0]) : row;
 	}
 
 	/**
--- a/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -95,6 +96,17 @@
 		await(() -> two.view.version(FleetTable.ENDPOINTS) == 2);
 	}
 
+	@Test
+	void largeMalformedRowDoesNotHideOtherRowsFromOtherVms() throws Exception {
+		Vm one = start("vm-1");
+		Vm two = start("vm-2", one);
+		byte[] incompressible = new byte[65_536];
+		new Random(1).nextBytes(incompressible);
+		one.view.replace(FleetTable.ENDPOINTS, new TableRead(
+				List.of(new ReplicaRow("a", 1, incompressible), new ReplicaRow("b", 2, new byte[] { 1 })), 2, 2));
+		await(() -> two.view.version(FleetTable.ENDPOINTS) == 2);
+	}
+
 	@Test
 	void unusableAddressOfAVmDoesNotKeepOthersFromGettingTheState() throws Exception {
 		Vm one = start("vm-1");
