--- a/io/src/main/java/org/banyanstile/io/http/HttpClient.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpClient.java
@@ -43,6 +43,10 @@
 
 	private static final int MAX_IDLE_PER_PEER = 8;
 
+	private static final int MAX_CHARACTER = 0xff;
+
+	private static final int MAX_PORT = 65_535;
+
 	private final XnioWorker worker;
 
 	private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
@@ -77,8 +81,8 @@
 	 * Sends a request and waits for the head of the response.
 	 * @param request the request
 	 * @return the response, which the caller must close
-	 * @throws ConnectFailedException if no connection was established, so nothing was
-	 * sent
+	 * @throws ConnectFailedException if no connection was established, for example since
+	 * the address is not usable, so nothing was sent
 	 * @throws HttpException if no response head arrived
 	 */
 	public HttpResponse send(HttpRequest request) throws HttpException {
@@ -96,6 +100,7 @@
 	 * @throws HttpException if no response head arrived
 	 */
 	public HttpResponse send(HttpRequest request, CallHandle handle) throws HttpException {
+		requireSendable(request);
 		HttpConnection connection = connection(request);
 		boolean done = false;
 		try {
@@ -116,6 +121,25 @@
 		}
 	}
 
+	private static void requireSendable(HttpRequest request) throws ConnectFailedException {
+		boolean sendable = isSendable(request.path());
+		for (Map.Entry<String, String> header : request.headers().entrySet()) {
+			sendable &= isSendable(header.getKey()) && isSendable(header.getValue());
+		}
+		if (!sendable) {
+			throw new ConnectFailedException(
+					"the request to " + request.address()
+							+ " was not sent, since its target or a header field holds a character that HTTP forbids",
+					null);
+		}
+	}
+
+	// Undertow writes the low byte of each character, which can be a line break also if
+	// the character is none.
+	private static boolean isSendable(String text) {
+		return text.chars().noneMatch((c) -> c == '\r' || c == '\n' || c == 0 || c > MAX_CHARACTER);
+	}
+
 	private HttpResponse exchange(HttpRequest request, HttpConnection connection, CallHandle handle)
 			throws IOException, HttpException {
 		CompletableFuture<ResponseStart> responseStart = new CompletableFuture<>();
@@ -194,9 +218,7 @@
 
 	private HttpConnection connect(String address, Duration timeout) throws ConnectFailedException {
 		ResponseOverhead overhead = new ResponseOverhead();
-		IoFuture<ClientConnection> future = UndertowClient.getInstance()
-			.connect(URI.create("http://" + address), new CountingIoThread(this.worker.getIoThread(), overhead),
-					this.buffers, OptionMap.EMPTY);
+		IoFuture<ClientConnection> future = open(address, overhead);
 		if (future.await(timeout.toMillis(), TimeUnit.MILLISECONDS) != IoFuture.Status.DONE) {
 			future.cancel();
 			// The connection can be established between the timeout and the
@@ -212,6 +234,28 @@
 		}
 	}
 
+	private IoFuture<ClientConnection> open(String address, ResponseOverhead overhead) throws ConnectFailedException {
+		try {
+			return UndertowClient.getInstance()
+				.connect(uri(address), new CountingIoThread(this.worker.getIoThread(), overhead), this.buffers,
+						OptionMap.EMPTY);
+		}
+		catch (IllegalArgumentException ex) {
+			throw new ConnectFailedException("no connection to " + address + ", which is not a usable address", ex);
+		}
+	}
+
+	// The comparison excludes addresses that a URI takes for more than a host and a port.
+	private static URI uri(String address) {
+		URI uri = URI.create("http://" + address);
+		boolean valid = uri.getPort() > 0 && uri.getPort() <= MAX_PORT
+				&& address.equals(uri.getHost() + ':' + uri.getPort());
+		if (!valid) {
+			throw new IllegalArgumentException("address '" + address + "' is not of the form host:port");
+		}
+		return uri;
+	}
+
 	private static @Nullable IOException failure(IoFuture<ClientConnection> future) {
 		return (future.getStatus() == IoFuture.Status.FAILED) ? future.getException() : null;
 	}
--- a/server/src/main/java/org/banyanstile/server/router/RouterCall.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterCall.java
@@ -133,6 +133,15 @@
 		return this.addresses.add(address) && !repeated;
 	}
 
+	/**
+	 * Returns whether an attempt was or may have been sent to any address. Used by the
+	 * thread that serves the request.
+	 * @return whether one may have been
+	 */
+	boolean isSent() {
+		return !this.addresses.isEmpty();
+	}
+
 	/**
 	 * Returns the request target as the caller sent it.
 	 * @return path and query, byte for byte
--- a/server/src/main/java/org/banyanstile/server/view/FleetView.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetView.java
@@ -42,6 +42,13 @@
 	 */
 	static final double MASS_EXPIRY_SHARE = 0.75;
 
+	/**
+	 * Longest malformed entry that other VMs receive with its value; they get a longer
+	 * one empty, since it would not fit into a datagram with the other rows. Several
+	 * times the size of a sound entry.
+	 */
+	private static final int MAX_MALFORMED_BYTES = 2048;
+
 	private final RowDecoder decoder;
 
 	private final Ticker ticker;
@@ -52,6 +59,12 @@
 
 	private final Map<String, RegisteredEndpoint> endpoints = new HashMap<>();
 
+	/**
+	 * Endpoints whose malformed entry has been logged. Its writer may renew it each
+	 * second.
+	 */
+	private final Set<String> malformed = new HashSet<>();
+
 	private final Map<String, Long> keptUntil = new HashMap<>();
 
 	private final Map<String, Long> coldUntil = new HashMap<>();
@@ -187,7 +200,14 @@
 		TableReplica replica = replica(table);
 		boolean whole = !replica.retainsChangesAfter(after);
 		Collection<ReplicaRow> rows = whole ? replica.rows() : replica.changesAfter(after);
-		return new MissingRows(whole, new TableRead(List.copyOf(rows), replica.complete(), replica.storeMillis()));
+		List<ReplicaRow> bounded = rows.stream().map((row) -> withBoundedValue(table, row)).toList();
+		return new MissingRows(whole, new TableRead(bounded, replica.complete(), replica.storeMillis()));
+	}
+
+	private ReplicaRow withBoundedValue(FleetTable table, ReplicaRow row) {
+		boolean dropped = table == FleetTable.ENDPOINTS && row.value() != null
+				&& row.value().length > MAX_MALFORMED_BYTES && !this.endpoints.containsKey(row.key());
+		return dropped ? new ReplicaRow(row.key(), row.version(), new byte[0]) : row;
 	}
 
 	/**
@@ -249,7 +269,7 @@
 				this.log.stateChange("configuration", "version", next.version(), "row", row.version());
 			}
 		}
-		catch (MalformedRowException ex) {
+		catch (MalformedRowException | RuntimeException | StackOverflowError ex) {
 			this.log.problem("malformed configuration row; the previous version stays in force", ex);
 		}
 	}
@@ -260,6 +280,7 @@
 			ReplicaRow row = replica.row(id);
 			RegisteredEndpoint old = this.endpoints.get(id);
 			if (row == null || row.value() == null) {
+				this.malformed.remove(id);
 				if (old != null && old.ready() && !this.keptUntil.containsKey(id)) {
 					removed.put(id, old);
 				}
@@ -278,6 +299,7 @@
 		try {
 			RegisteredEndpoint endpoint = this.decoder.decodeEndpoint(id, value);
 			this.endpoints.put(id, endpoint);
+			this.malformed.remove(id);
 			if (endpoint.coldMillis() > 0) {
 				this.coldUntil.put(id, this.ticker.nanos() + endpoint.coldMillis() * 1_000_000);
 			}
@@ -289,9 +311,14 @@
 						endpoint.ready(), "phase", endpoint.role());
 			}
 		}
-		catch (MalformedRowException ex) {
+		catch (MalformedRowException | RuntimeException | StackOverflowError ex) {
+			// The replica counts the row as applied, so throwing an exception would lose
+			// the other changes of the read.
 			this.endpoints.remove(id);
-			this.log.problem("malformed entry of endpoint " + id + "; the endpoint gets no work", ex);
+			if (!this.malformed.contains(id)
+					&& this.log.problem("malformed entry of endpoint " + id + "; the endpoint gets no work", ex)) {
+				this.malformed.add(id);
+			}
 		}
 	}
 
--- a/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -13,10 +14,13 @@
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.replica.ReplicaRow;
 import org.banyanstile.server.router.DecisionLog;
+import org.banyanstile.server.view.FleetTable;
 import org.banyanstile.server.view.FleetView;
 import org.banyanstile.server.view.MalformedRowException;
 import org.banyanstile.server.view.RowDecoder;
+import org.banyanstile.server.view.TableRead;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -83,6 +87,34 @@
 			.anyMatch((member) -> member.state() == MemberState.LEAVING.ordinal()));
 	}
 
+	@Test
+	void emptyRowDoesNotHideOtherRowsFromOtherVms() throws Exception {
+		Vm one = start("vm-1");
+		Vm two = start("vm-2", one);
+		one.view.replace(FleetTable.ENDPOINTS, new TableRead(
+				List.of(new ReplicaRow("a", 1, new byte[0]), new ReplicaRow("b", 2, new byte[] { 1 })), 2, 2));
+		await(() -> two.view.version(FleetTable.ENDPOINTS) == 2);
+	}
+
+	@Test
+	void largeMalformedRowDoesNotHideOtherRowsFromOtherVms() throws Exception {
+		Vm one = start("vm-1");
+		Vm two = start("vm-2", one);
+		byte[] incompressible = new byte[65_536];
+		new Random(1).nextBytes(incompressible);
+		one.view.replace(FleetTable.ENDPOINTS, new TableRead(
+				List.of(new ReplicaRow("a", 1, incompressible), new ReplicaRow("b", 2, new byte[] { 1 })), 2, 2));
+		await(() -> two.view.version(FleetTable.ENDPOINTS) == 2);
+	}
+
+	@Test
+	void unusableAddressOfAVmDoesNotKeepOthersFromGettingTheState() throws Exception {
+		Vm one = start("vm-1");
+		Vm two = start("vm-2");
+		two.node.setSeeds(List.of("!nowhere", "!nowhere:7001", "!127.0.0.1:70000", "!127.0.0.1:x", one.address));
+		await(() -> one.knows("vm-2") && two.knows("vm-1"));
+	}
+
 	/**
 	 * An error of one round or one datagram ends neither thread.
 	 * @throws Exception if a node cannot be started
@@ -112,6 +144,8 @@
 
 		private final List<GossipState> received = new CopyOnWriteArrayList<>();
 
+		private final FleetView view;
+
 		private final GossipNode node;
 
 		private final AtomicInteger errors = new AtomicInteger();
@@ -127,8 +161,9 @@
 			this.membership = Membership
 				.of(new GossipMember(name, 1, 0, "dc-1", "127.0.0.1:1", this.address, MemberState.SERVING.ordinal()));
 			DecisionLog log = DecisionLog.create();
-			this.node = GossipNode.start(new InetSocketAddress("127.0.0.1", port), this.membership,
-					FleetView.create(new NoRows(), Ticker.system(), log), this, Ticker.system(), log);
+			this.view = FleetView.create(new NoRows(), Ticker.system(), log);
+			this.node = GossipNode.start(new InetSocketAddress("127.0.0.1", port), this.membership, this.view, this,
+					Ticker.system(), log);
 		}
 
 		private boolean knows(String name) {
