End the poll of a caller's connection with the exchange

The endpoint ran it after its caller had left.

Cause: a response with a content length ends its exchange with its last byte, but the poll for disconnects ended only afterwards, in CallerResponse.end. In between the poll and the I/O thread both read from the connection. Bytes of the next request that the poll read and returned were not noticed, since the server had already looked for returned bytes. The daemon of server/ has the same pattern in ResponseWriter.

Change: CallerConnection ends polling when its exchange completes, which the server announces before it looks for the next request. It polls only after the request was read completely. Both daemons use it.

Why it works: the poll is the only reader until the exchange ends, the server the only one afterwards, and the hand-over excludes the poll. It belongs to the end of the exchange, so it does not depend on the path that ends it. The lock is held for one read that does not block.

--- a/server/src/main/java/org/banyanstile/server/caller/CallerConnection.java
+++ b/server/src/main/java/org/banyanstile/server/caller/CallerConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.ExchangeCompletionListener;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 
@@ -10,6 +11,10 @@
  * Connection of a caller whose request was read completely, polled for a disconnect.
  * While a request runs the server does not read from the connection, so that without
  * polling a disconnect is only detected by a failing write.
+ * <p>
+ * Only the poll reads from the connection while the exchange runs, and only the server
+ * does so after its end: the completion of the exchange ends polling before the server
+ * looks for the next request.
  *
  * @author banyanstile contributors
  */
@@ -20,11 +25,21 @@
 	private boolean polling = true;
 
 	/**
-	 * Enables polling of the connection of an exchange.
-	 * @param exchange the exchange, whose request was read completely
+	 * Enables polling of the connection of an exchange until the exchange ends.
+	 * @param exchange the exchange, which must not have ended
 	 */
 	public CallerConnection(HttpServerExchange exchange) {
 		this.exchange = exchange;
+		exchange.addExchangeCompleteListener((ended, next) -> complete(next));
+	}
+
+	private void complete(ExchangeCompletionListener.NextListener next) {
+		try {
+			stop();
+		}
+		finally {
+			next.proceed();
+		}
 	}
 
 	/**
@@ -33,7 +48,7 @@
 	 * @return whether it is closed
 	 */
 	public synchronized boolean isClosed() {
-		if (!this.polling) {
+		if (!this.polling || !this.exchange.isRequestComplete()) {
 			return false;
 		}
 		if (!this.exchange.getConnection().isOpen()) {
@@ -65,7 +80,7 @@
 	}
 
 	/**
-	 * Ends polling. Must be called before the server reads the next request.
+	 * Ends polling. The end of the exchange does the same.
 	 */
 	public synchronized void stop() {
 		this.polling = false;
--- a/server/src/main/java/org/banyanstile/server/caller/ResponseWriter.java
+++ b/server/src/main/java/org/banyanstile/server/caller/ResponseWriter.java
@@ -57,7 +57,7 @@
 	}
 
 	void end() throws IOException {
-		// After the last byte the server may read the next request from the connection.
+		// A caller may disconnect as soon as it has the last byte.
 		this.connection.stop();
 		StreamSinkChannel sink = sink();
 		sink.shutdownWrites();
