--- a/server/src/test/java/org/banyanstile/server/ChatTests.java
+++ b/server/src/test/java/org/banyanstile/server/ChatTests.java
@@ -28,6 +28,8 @@
  */
 class ChatTests {
 
+	private static final long PAUSE_MILLIS = 400;
+
 	private final FakeEngine prefill = FakeEngine.start();
 
 	private final FakeEngine decode = FakeEngine.start();
@@ -113,15 +115,20 @@
 	 */
 	@Test
 	void cancelsWithinASecondOfADisconnectOfAStream() throws Exception {
-		cancelsAfterDisconnect(true);
+		cancelsAfterDisconnect(true, 1);
 	}
 
 	@Test
 	void cancelsWithinASecondOfADisconnectWithoutStream() throws Exception {
-		cancelsAfterDisconnect(false);
+		cancelsAfterDisconnect(false, 1);
 	}
 
-	private void cancelsAfterDisconnect(boolean stream) throws Exception {
+	@Test
+	void cancelsWithinASecondOfADisconnectBehindAPipelinedRequest() throws Exception {
+		cancelsAfterDisconnect(false, 2);
+	}
+
+	private void cancelsAfterDisconnect(boolean stream, int requests) throws Exception {
 		this.decode.decode = (exchange, id, from) -> {
 			FakeEngine.word(exchange, id, 0);
 			this.decode.silence();
@@ -131,9 +138,13 @@
 			String head = "POST " + request.path() + " HTTP/1.1\r\nHost: x\r\nAuthorization: "
 					+ request.headers().get("Authorization") + "\r\nContent-Length: " + request.body().length
 					+ "\r\n\r\n";
-			socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
-			socket.getOutputStream().write(request.body());
-			assertThat(TestVm.await(3000, () -> !this.decode.opened.isEmpty()), is(true));
+			for (int i = 0; i < requests; i++) {
+				socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+				socket.getOutputStream().write(request.body());
+				assertThat(TestVm.await(3000, () -> !this.decode.opened.isEmpty()), is(true));
+			}
+			// Longer than the interval of the poll, so that it has read the last request.
+			Thread.sleep(PAUSE_MILLIS);
 		}
 		assertThat(TestVm.await(1000, () -> !this.decode.cancelled.isEmpty()), is(true));
 	}
