End each exchange with a caller after an error and at a deadline

What callers saw: an Error while a request was served, an OutOfMemoryError for example, left the exchange without a response and its connection open. So did a thread that blocked, and a body that stayed incomplete.

Cause: RequestIntake.serve caught RuntimeException and IOException only, read the caller's fields outside of that, and nothing but the thread that serves a request could end its exchange.

Change: any error closes the connection and is counted. Its cause and the id of the request are kept in arrays allocated beforehand and logged by the timer thread. That thread also closes each exchange that is open 300 ms after the time limit of its route, from the arrival of the head (10 s if no route is known), and logs `overdue`. banyanstile_failed_exchanges_total{cause} counts both.

Why it works: the deadline depends neither on the thread that serves the request nor on the thread that reads it, and the exchange is added before its body is read.

--- /dev/null
+++ b/server/src/main/java/org/banyanstile/server/router/OpenExchanges.java
@@ -0,0 +1,127 @@
+package org.banyanstile.server.router;
+
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.undertow.server.HttpServerExchange;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * All exchanges with callers that have not ended. One that fails, or whose deadline
+ * passes, ends with its connection, whatever the thread that serves it does.
+ *
+ * @author banyanstile contributors
+ */
+final class OpenExchanges {
+
+	/**
+	 * Time after the limit of its route at which an exchange is closed. Leaves the time
+	 * to cancel the call and to send the response to a time limit that has passed.
+	 */
+	private static final long GRACE_MILLIS = 300;
+
+	/**
+	 * Errors that wait to be logged; further ones are only counted.
+	 */
+	private static final int MAX_UNLOGGED = 64;
+
+	private final Set<OpenExchange> exchanges = ConcurrentHashMap.newKeySet();
+
+	private final AtomicLong failed = new AtomicLong();
+
+	private final AtomicLong overdue = new AtomicLong();
+
+	// Allocated beforehand, since an error may mean that memory is exhausted.
+	private final @Nullable Throwable[] causes = new Throwable[MAX_UNLOGGED];
+
+	private final @Nullable String[] ids = new String[MAX_UNLOGGED];
+
+	private int unlogged;
+
+	/**
+	 * Adds an exchange until it ends.
+	 * @param exchange the exchange
+	 * @param limitMillis time limit of its route
+	 * @return the added exchange
+	 */
+	OpenExchange add(HttpServerExchange exchange, long limitMillis) {
+		OpenExchange open = new OpenExchange(exchange,
+				System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMillis + GRACE_MILLIS));
+		exchange.addExchangeCompleteListener((ended, next) -> {
+			this.exchanges.remove(open);
+			next.proceed();
+		});
+		this.exchanges.add(open);
+		return open;
+	}
+
+	/**
+	 * Ends an exchange after an error. Allocates nothing.
+	 * @param open the exchange
+	 * @param cause the error
+	 */
+	void fail(OpenExchange open, Throwable cause) {
+		this.failed.incrementAndGet();
+		synchronized (this.causes) {
+			if (this.unlogged < MAX_UNLOGGED) {
+				this.causes[this.unlogged] = cause;
+				this.ids[this.unlogged] = open.id();
+				this.unlogged++;
+			}
+		}
+		open.close();
+	}
+
+	/**
+	 * Closes the exchanges whose deadline has passed, and logs errors. Called
+	 * periodically.
+	 * @param log the log
+	 */
+	void check(DecisionLog log) {
+		long now = System.nanoTime();
+		for (OpenExchange open : this.exchanges) {
+			if (open.hasEnded()) {
+				this.exchanges.remove(open);
+			}
+			else if (open.isOverdue(now)) {
+				this.overdue.incrementAndGet();
+				this.exchanges.remove(open);
+				open.close();
+				log.request("overdue", open.id(), "reason", "the exchange did not end by its deadline and was closed");
+			}
+		}
+		while (logFailure(log)) {
+			Thread.onSpinWait();
+		}
+	}
+
+	private boolean logFailure(DecisionLog log) {
+		String id;
+		Throwable cause;
+		synchronized (this.causes) {
+			if (this.unlogged == 0) {
+				return false;
+			}
+			this.unlogged--;
+			id = this.ids[this.unlogged];
+			cause = this.causes[this.unlogged];
+			this.ids[this.unlogged] = null;
+			this.causes[this.unlogged] = null;
+		}
+		if (cause != null) {
+			log.problem("request " + id + " failed and its connection was closed", cause);
+		}
+		return true;
+	}
+
+	long failed() {
+		return this.failed.get();
+	}
+
+	long overdue() {
+		return this.overdue.get();
+	}
+
+}
--- a/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
+++ b/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
@@ -38,6 +38,12 @@
 	 */
 	static final int MAX_CONCURRENT_REQUESTS = 300;
 
+	/**
+	 * Time limit of a request whose route is not known. Longer than a start of the VM and
+	 * the limits of usual routes.
+	 */
+	private static final long UNROUTED_LIMIT_MILLIS = 10_000;
+
 	private static final int DEFAULT_MAX_BODY_BYTES = 8 * 1024 * 1024;
 
 	/**
@@ -80,24 +86,37 @@
 
 	private final Set<RouterCall> calls = ConcurrentHashMap.newKeySet();
 
+	private final OpenExchanges exchanges = new OpenExchanges();
+
 	RequestIntake(RouterServices services, TeamQuotas quotas, GracefulShutdown shutdown) {
 		this.services = services;
 		this.quotas = quotas;
 		this.shutdown = shutdown;
+		services.metrics().bindFailedExchanges(this.exchanges);
 	}
 
 	/**
-	 * Cancels calls whose caller has disconnected or whose time limit has passed.
+	 * Cancels calls whose caller has disconnected or whose time limit has passed, and
+	 * closes exchanges that have not ended some time after it.
 	 */
 	void cancelEndedCalls() {
-		for (RouterCall call : this.calls) {
-			try {
-				call.cancelIfEnded();
-			}
-			catch (RuntimeException ex) {
-				this.services.log().problem("checking request " + call.id() + " for cancellation failed", ex);
+		try {
+			for (RouterCall call : this.calls) {
+				cancelIfEnded(call);
 			}
 		}
+		finally {
+			this.exchanges.check(this.services.log());
+		}
+	}
+
+	private void cancelIfEnded(RouterCall call) {
+		try {
+			call.cancelIfEnded();
+		}
+		catch (RuntimeException ex) {
+			this.services.log().problem("checking request " + call.id() + " for cancellation failed", ex);
+		}
 	}
 
 	int running() {
@@ -113,8 +132,15 @@
 		}
 		Catalog catalog = this.services.view().snapshot().catalog();
 		exchange.setMaxEntitySize((catalog != null) ? catalog.maxBodyBytes() : DEFAULT_MAX_BODY_BYTES);
+		OpenExchange open = this.exchanges.add(exchange, limitMillis(exchange, catalog));
 		exchange.getRequestReceiver()
-			.receiveFullBytes((read, body) -> accept(read, body, arrivalNanos), (broken, ex) -> failToRead(broken, ex));
+			.receiveFullBytes((read, body) -> accept(read, body, arrivalNanos, open),
+					(broken, ex) -> failToRead(broken, ex));
+	}
+
+	private static long limitMillis(HttpServerExchange exchange, @Nullable Catalog catalog) {
+		ServedRoute route = (catalog != null) ? catalog.route(host(exchange), exchange.getRequestURI()) : null;
+		return (route != null) ? route.timeoutMillis() : UNROUTED_LIMIT_MILLIS;
 	}
 
 	// A request whose end two parsers could find at different positions allows request
@@ -144,7 +170,7 @@
 		exchange.getResponseSender().send("");
 	}
 
-	private void accept(HttpServerExchange exchange, byte[] body, long arrivalNanos) {
+	private void accept(HttpServerExchange exchange, byte[] body, long arrivalNanos, OpenExchange open) {
 		if (!this.permits.tryAcquire()) {
 			RejectionException rejection = RejectionException.notRun("this VM is overloaded", RETRY_AFTER_SECONDS);
 			this.services.metrics().refused(rejection.status());
@@ -154,7 +180,10 @@
 		this.running.incrementAndGet();
 		exchange.dispatch(() -> {
 			try {
-				serve(exchange, body, arrivalNanos);
+				serve(exchange, body, arrivalNanos, open);
+			}
+			catch (RuntimeException | Error ex) {
+				this.exchanges.fail(open, ex);
 			}
 			finally {
 				this.running.decrementAndGet();
@@ -163,10 +192,11 @@
 		});
 	}
 
-	private void serve(HttpServerExchange exchange, byte[] body, long arrivalNanos) {
+	private void serve(HttpServerExchange exchange, byte[] body, long arrivalNanos, OpenExchange open) {
 		CallerConnection connection = new CallerConnection(exchange);
 		CallerFields fields = this.services.protocol()
 			.callerFields((name) -> exchange.getRequestHeaders().getFirst(name));
+		open.setId(fields.attemptId());
 		CallerResponse response = new CallerResponse(exchange, connection);
 		try {
 			route(exchange, connection, fields, body, arrivalNanos, response);
@@ -178,10 +208,6 @@
 			this.services.log().request("caller gone", fields.attemptId(), "reason", String.valueOf(ex.getMessage()));
 			response.abort();
 		}
-		catch (RuntimeException ex) {
-			this.services.log().problem("request " + fields.attemptId() + " failed", ex);
-			response.abort();
-		}
 		finally {
 			connection.stop();
 		}
--- a/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
@@ -56,6 +56,19 @@
 			.register(this.registry);
 	}
 
+	/**
+	 * Registers the counters of exchanges that ended without a response.
+	 * @param exchanges the exchanges
+	 */
+	void bindFailedExchanges(OpenExchanges exchanges) {
+		FunctionCounter.builder("banyanstile_failed_exchanges_total", exchanges, OpenExchanges::failed)
+			.tag("cause", "error")
+			.register(this.registry);
+		FunctionCounter.builder("banyanstile_failed_exchanges_total", exchanges, OpenExchanges::overdue)
+			.tag("cause", "deadline")
+			.register(this.registry);
+	}
+
 	/**
 	 * Records the outcome of a request and its latency.
 	 * @param kind kind of the route
