Forward only events that follow the last one forwarded

What callers saw: after a stream had broken and failed over, the text of an error, a JSON body, repeated events or a gap in the middle of their stream, which then ended as if it were complete. A caller that resumed a stream itself could receive its beginning again.

Cause: the relay forwarded every block of lines up to an empty line as an event and did not look at its id. A response without length or chunks has no other mark of where its events end and an error's head begins. A stream whose events had no ids failed over although the next engine could not know where to continue.

Change: EventSequence in module core decides by its id whether an event follows: ids increase, and where a stream is resumed, also by the caller, the first id continues a numbering without gaps. The relay forwards nothing from the first event that does not follow, and treats the stream of that engine as broken. A stream without ids is forwarded as before, but does not fail over.

Why it works: only bytes of complete events that passed the check are written, so what another engine sends can only continue the stream or be discarded.

--- a/server/src/main/java/org/banyanstile/server/router/EventSplitter.java
+++ b/server/src/main/java/org/banyanstile/server/router/EventSplitter.java
@@ -4,16 +4,19 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
+import org.banyanstile.core.stream.EventSequence;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Splits a stream of server-sent events so that only complete events are forwarded. Not
- * safe for use by several threads.
+ * Splits a stream of server-sent events so that only complete events whose ids are in
+ * sequence are forwarded. Not safe for use by several threads.
  *
  * @author banyanstile contributors
  */
 final class EventSplitter {
 
+	private final EventSequence sequence;
+
 	private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
 
 	private @Nullable String lastEventId;
@@ -26,16 +29,23 @@
 
 	private boolean inEvent;
 
+	private boolean outOfSequence;
+
 	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
 
+	EventSplitter(EventSequence sequence) {
+		this.sequence = sequence;
+	}
+
 	/**
 	 * Appends bytes of the stream.
 	 * @param bytes the bytes
-	 * @return the events that these bytes complete
+	 * @return the events that these bytes complete, up to the first one that is out of
+	 * sequence
 	 */
 	ByteBuffer append(ByteBuffer bytes) {
 		ByteArrayOutputStream complete = new ByteArrayOutputStream();
-		while (bytes.hasRemaining()) {
+		while (bytes.hasRemaining() && !this.outOfSequence) {
 			byte next = bytes.get();
 			this.pending.write(next);
 			if (next == '\n') {
@@ -51,13 +61,18 @@
 
 	private void endLine(ByteArrayOutputStream complete) {
 		if (!this.emptyLine) {
-			this.inEvent = true;
 			String text = this.line.toString(StandardCharsets.UTF_8);
+			// A line that begins with a colon is a comment.
+			this.inEvent |= !text.startsWith(":");
 			if (text.startsWith("id:")) {
 				this.partialEventId = text.substring(3).strip();
 			}
 		}
 		else {
+			if (this.inEvent && !this.sequence.accept(this.partialEventId)) {
+				this.outOfSequence = true;
+				return;
+			}
 			if (this.inEvent) {
 				this.eventCount++;
 			}
@@ -82,10 +97,21 @@
 	}
 
 	/**
-	 * Discards the beginning of an event whose rest will not arrive because the stream
-	 * broke.
+	 * Returns whether an event was out of sequence. It was not returned, nor was anything
+	 * after it.
+	 * @return whether one was
+	 */
+	boolean isOutOfSequence() {
+		return this.outOfSequence;
+	}
+
+	/**
+	 * Expects the rest of a broken stream from another engine. The beginning of an event
+	 * whose rest will not arrive is discarded.
 	 */
-	void discardPartialEvent() {
+	void resume() {
+		this.sequence.resume();
+		this.outOfSequence = false;
 		this.pending.reset();
 		this.line.reset();
 		this.partialEventId = null;
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -6,6 +6,7 @@
 
 import org.banyanstile.core.catalog.EngineTraits;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.banyanstile.core.stream.EventSequence;
 import org.banyanstile.io.http.ConnectionBrokenException;
 import org.banyanstile.io.http.HttpException;
 import org.banyanstile.io.http.HttpResponse;
@@ -72,7 +73,9 @@
 
 	private final EngineTraits traits;
 
-	private final EventSplitter splitter = new EventSplitter();
+	private final EventSequence sequence;
+
+	private final EventSplitter splitter;
 
 	private final StreamTiming timing = new StreamTiming();
 
@@ -107,6 +110,8 @@
 		this.services = services;
 		this.call = call;
 		this.traits = traits;
+		this.sequence = EventSequence.createAfter(call.route().resumable() ? call.fields().lastEventId() : null);
+		this.splitter = new EventSplitter(this.sequence);
 		this.attempts = new CallAttempts(services, call);
 		this.crashGuard = new CrashGuard(services, call);
 		this.promptPrefill = new PromptPrefill(services, call, this.attempts, this.crashGuard);
@@ -156,7 +161,7 @@
 					return;
 				}
 				reason = "the stream broke before its end";
-				if (!this.attempts.mayRetryAfterRun()) {
+				if (!mayContinueElsewhere()) {
 					break;
 				}
 			}
@@ -184,6 +189,11 @@
 		fail(reason);
 	}
 
+	// Without event ids another engine would repeat what the caller has received.
+	private boolean mayContinueElsewhere() {
+		return this.attempts.mayRetryAfterRun() && this.sequence.isResumable();
+	}
+
 	private DecodeReservations reservations() {
 		return new DecodeReservations(this.services, this.call, this.traits, requiredTokens());
 	}
@@ -312,8 +322,8 @@
 			recordComplete(engine);
 			return true;
 		}
-		catch (HttpException ex) {
-			this.splitter.discardPartialEvent();
+		catch (HttpException | StreamMismatchException ex) {
+			this.splitter.resume();
 			if (!this.call.isCancelledOrTimedOut()) {
 				this.services.health().unreachable(engine.id(), System.nanoTime());
 			}
@@ -330,11 +340,17 @@
 		}
 	}
 
-	private void relay(HttpResponse response, RegisteredEndpoint engine) throws HttpException, IOException {
+	private void relay(HttpResponse response, RegisteredEndpoint engine)
+			throws HttpException, StreamMismatchException, IOException {
 		long progressAt = this.call.ageMillis();
 		ByteBuffer bytes = next(response, engine);
 		while (bytes != null) {
-			if (forwardEvents(bytes)) {
+			boolean forwarded = forwardEvents(bytes);
+			if (this.splitter.isOutOfSequence()) {
+				throw new StreamMismatchException(
+						engine.id() + " sent an event that does not follow event " + this.splitter.lastEventId());
+			}
+			if (forwarded) {
 				progressAt = this.call.ageMillis();
 			}
 			else if (this.splitter.pendingBytes() > MAX_EVENT_BYTES) {
@@ -419,7 +435,7 @@
 	}
 
 	private boolean tryReserveFailover(RegisteredEndpoint engine) {
-		if (!this.call.route().resumable() || !this.attempts.mayRetryAfterRun()) {
+		if (!this.call.route().resumable() || !mayContinueElsewhere()) {
 			return false;
 		}
 		DecodeReservation reservation = reservations().tryReserveElsewhere(engine);
--- a/server/src/test/java/org/banyanstile/server/router/EventSplitterTests.java
+++ b/server/src/test/java/org/banyanstile/server/router/EventSplitterTests.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Random;
 
+import org.banyanstile.core.stream.EventSequence;
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -18,7 +19,7 @@
  */
 class EventSplitterTests {
 
-	private final EventSplitter splitter = new EventSplitter();
+	private final EventSplitter splitter = new EventSplitter(EventSequence.create());
 
 	private static ByteBuffer bytes(String text) {
 		return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
@@ -39,7 +40,7 @@
 	@Test
 	void idOfAnEventThatBrokeOffDoesNotCount() {
 		this.splitter.append(bytes("id: 1\ndata: a\n\nid: 2\ndata"));
-		this.splitter.discardPartialEvent();
+		this.splitter.resume();
 		assertThat(text(this.splitter.append(bytes("id: 2\ndata: b\n\n"))), is("id: 2\ndata: b\n\n"));
 		assertThat(this.splitter.eventCount(), is(2));
 	}
@@ -59,7 +60,7 @@
 		byte[] all = stream.toString().getBytes(StandardCharsets.UTF_8);
 		for (int seed = 0; seed < 200; seed++) {
 			Random random = new Random(seed);
-			EventSplitter freshSplitter = new EventSplitter();
+			EventSplitter freshSplitter = new EventSplitter(EventSequence.create());
 			ByteArrayOutputStream out = new ByteArrayOutputStream();
 			int at = 0;
 			while (at < all.length) {
