Reset the connection of an HTTP/1.0 caller whose response is truncated

What callers saw: a stream that broke off ended like a complete one if the request was HTTP/1.0.

Cause: HTTP/1.0 has no chunks, so the end of the connection ends the body. The router closed the connection in the ordinary way.

Evidence: StreamFailoverTests. brokenStreamResetsTheConnectionOfAnHttp10Caller on the code before: "Expected java.net.SocketException to be thrown, but nothing was thrown".

Change: an aborted response to such a caller resets the connection.

Why it works: a reset is an error for the reader, an end of the stream is not.

Result: the test passes.

--- a/server/src/main/java/org/banyanstile/server/router/CallerResponse.java
+++ b/server/src/main/java/org/banyanstile/server/router/CallerResponse.java
@@ -14,6 +14,7 @@
 import org.banyanstile.server.caller.CallerConnection;
 import org.jspecify.annotations.Nullable;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 
 /**
  * Response to a caller, written by the thread that serves the request.
@@ -26,13 +27,16 @@
 
 	private final CallerConnection connection;
 
+	private final DecisionLog log;
+
 	private @Nullable OutputStream out;
 
 	private boolean closesConnection;
 
-	CallerResponse(HttpServerExchange exchange, CallerConnection connection) {
+	CallerResponse(HttpServerExchange exchange, CallerConnection connection, DecisionLog log) {
 		this.exchange = exchange;
 		this.connection = connection;
+		this.log = log;
 	}
 
 	boolean isStarted() {
@@ -151,7 +155,20 @@
 	 */
 	void abort() {
 		this.connection.stop();
+		if (!this.exchange.isHttp11()) {
+			resetOnClose();
+		}
 		IoUtils.safeClose(this.exchange.getConnection());
 	}
 
+	// HTTP/1.0 has no chunks, so an ordinary end of the connection would end the body.
+	private void resetOnClose() {
+		try {
+			this.exchange.getConnection().setOption(Options.CLOSE_ABORT, true);
+		}
+		catch (IOException ex) {
+			this.log.problem("connection of an HTTP/1.0 caller could not be set to reset", ex);
+		}
+	}
+
 }
--- a/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
+++ b/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
@@ -167,7 +167,7 @@
 		CallerConnection connection = new CallerConnection(exchange);
 		CallerFields fields = this.services.protocol()
 			.callerFields((name) -> exchange.getRequestHeaders().getFirst(name));
-		CallerResponse response = new CallerResponse(exchange, connection);
+		CallerResponse response = new CallerResponse(exchange, connection, this.services.log());
 		try {
 			route(exchange, connection, fields, body, arrivalNanos, response);
 		}
