Treat a resumed stream that closes without an event as broken

What callers saw: a stream that had broken and failed over ended as if it were complete, without its last events.

Cause: without a length or chunks, a crash before the first event looks like an end. The relay knew this only for the first engine: it counted the events of all engines together.

Evidence: StreamFailoverTests, NextResponse.WITHOUT_LENGTH_OR_EVENT on the code before: events 1 and 2 of 5, complete "Expected: is <false> but: was <true>".

Change: the relay counts the events of the engine whose stream ended.

Result: 21 of 21 cases of responseOfTheNextEngineDoesNotCorruptTheStream pass.

--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -342,6 +342,7 @@
 
 	private void relay(HttpResponse response, RegisteredEndpoint engine)
 			throws HttpException, StreamMismatchException, IOException {
+		int earlierEvents = this.splitter.eventCount();
 		long progressAt = this.call.ageMillis();
 		ByteBuffer bytes = next(response, engine);
 		while (bytes != null) {
@@ -372,7 +373,7 @@
 			throw new ConnectionBrokenException(engine.id() + " ended its stream inside an event", null);
 		}
 		// Without a length or chunks, a crash before the first event looks like an end.
-		if (this.splitter.eventCount() == 0 && !response.isDelimited()) {
+		if (this.splitter.eventCount() == earlierEvents && !response.isDelimited()) {
 			throw new ConnectionBrokenException(engine.id() + " closed its stream without an event", null);
 		}
 	}
