--- a/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
+++ b/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
@@ -197,7 +197,7 @@
 		CallerFields fields = this.services.protocol()
 			.callerFields((name) -> exchange.getRequestHeaders().getFirst(name));
 		open.setId(fields.attemptId());
-		CallerResponse response = new CallerResponse(exchange, connection);
+		CallerResponse response = new CallerResponse(exchange, connection, this.services.log());
 		try {
 			route(exchange, connection, fields, body, arrivalNanos, response);
 		}
