Read request bodies into a budget and answer those that stall

What callers saw: uploads that stall were never answered, and many slow ones ran the heap out of memory.

Cause: receiveFullBytes takes up to two times the length of a body, for any number of bodies at a time, and waits for the rest without a limit.

Change: RequestBodies charges a body before it reads it, into an array of its length. What does not fit waits unread, in order of arrival, up to the caller's deadline; what stalls is refused at the time limit of its route. Refusals are 503 with Retry-After and close the connection. Budget, use and refusals are on the metrics address.

Why it works: memory is taken before it is allocated and returned when the request ends; nothing of a refused request was sent.

--- a/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
+++ b/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 
@@ -18,6 +19,7 @@
 import org.banyanstile.core.catalog.ServedRoute;
 import org.banyanstile.core.catalog.ServedService;
 import org.banyanstile.core.catalog.TeamPolicy;
+import org.banyanstile.core.limit.BodyBudget;
 import org.banyanstile.server.caller.CallerConnection;
 import org.banyanstile.server.view.FleetTable;
 import org.banyanstile.server.view.FleetView;
@@ -53,6 +55,16 @@
 	 */
 	private static final long MAX_START_WAIT_NANOS = 600_000_000L;
 
+	/**
+	 * Longest time for the body of a request, as for its head.
+	 */
+	private static final long MAX_BODY_MILLIS = 15_000;
+
+	/**
+	 * Time in which a caller can send the rest of a refused body, which is discarded.
+	 */
+	private static final long LINGER_MILLIS = 5000;
+
 	private static final long START_POLL_NANOS = 20_000_000L;
 
 	/**
@@ -72,6 +84,8 @@
 
 	private final GracefulShutdown shutdown;
 
+	private final RequestBodies bodies;
+
 	private final Semaphore permits = new Semaphore(MAX_CONCURRENT_REQUESTS);
 
 	private final long startNanos = System.nanoTime();
@@ -84,6 +98,8 @@
 		this.services = services;
 		this.quotas = quotas;
 		this.shutdown = shutdown;
+		this.bodies = new RequestBodies(services.bodies());
+		services.metrics().bindWaitingBodies(this.bodies, RequestBodies::waiting);
 	}
 
 	/**
@@ -105,16 +121,31 @@
 	}
 
 	@Override
-	public void handleRequest(HttpServerExchange exchange) {
+	public void handleRequest(HttpServerExchange exchange) throws Exception {
 		long arrivalNanos = System.nanoTime();
 		if (isAmbiguous(exchange)) {
 			rejectWithoutBody(exchange, RejectionException.malformed("ambiguous body length"));
 			return;
 		}
 		Catalog catalog = this.services.view().snapshot().catalog();
-		exchange.setMaxEntitySize((catalog != null) ? catalog.maxBodyBytes() : DEFAULT_MAX_BODY_BYTES);
-		exchange.getRequestReceiver()
-			.receiveFullBytes((read, body) -> accept(read, body, arrivalNanos), (broken, ex) -> failToRead(broken, ex));
+		long maxBytes = (catalog != null) ? catalog.maxBodyBytes() : DEFAULT_MAX_BODY_BYTES;
+		this.bodies.receive(exchange, maxBytes, new BodyReceiver(catalog, arrivalNanos));
+	}
+
+	private CallerFields callerFields(HttpServerExchange exchange) {
+		return this.services.protocol().callerFields((name) -> exchange.getRequestHeaders().getFirst(name));
+	}
+
+	// The time limit of the route does not include the wait for memory, as far as the
+	// caller's deadline leaves time for both.
+	private long arrivalNanos(HttpServerExchange exchange, @Nullable Catalog catalog, long headNanos,
+			long waitedNanos) {
+		ServedRoute route = (catalog != null) ? catalog.route(host(exchange), exchange.getRequestURI()) : null;
+		if (route == null || waitedNanos == 0) {
+			return headNanos;
+		}
+		long spareMillis = Math.max(0, callerFields(exchange).deadlineMillis() - route.timeoutMillis());
+		return headNanos + Math.min(waitedNanos, TimeUnit.MILLISECONDS.toNanos(spareMillis));
 	}
 
 	// A request whose end two parsers could find at different positions allows request
@@ -132,9 +163,30 @@
 			rejectWithoutBody(exchange, RejectionException.tooLarge());
 			return;
 		}
+		if (ex.getCause() != null) {
+			this.services.log().problem("a request was not read", ex);
+		}
 		IoUtils.safeClose(exchange.getConnection());
 	}
 
+	// Answers a request whose body was not read. The connection is closed later, since
+	// bytes that arrive at a closed one can destroy the response before it is read.
+	private void refuseUnread(HttpServerExchange exchange, RejectionException rejection) {
+		this.services.metrics().refused(rejection.status());
+		this.services.metrics().bodyRejected("request");
+		this.services.log()
+			.request("refused", callerFields(exchange).attemptId(), "status", rejection.status(), "reason",
+					rejection.getMessage(), "retryAfter", rejection.retryAfterSeconds());
+		exchange.setPersistent(false);
+		exchange.setStatusCode(rejection.status());
+		exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+		exchange.getResponseHeaders().put(Headers.RETRY_AFTER, Double.toString(rejection.retryAfterSeconds()));
+		exchange.getIoThread()
+			.executeAfter(() -> IoUtils.safeClose(exchange.getConnection()), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+		exchange.getResponseSender().send("{\"error\":\"" + rejection.getMessage() + "\"}");
+	}
+
 	private void rejectWithoutBody(HttpServerExchange exchange, RejectionException rejection) {
 		exchange.setPersistent(false);
 		exchange.setStatusCode(rejection.status());
@@ -144,8 +196,9 @@
 		exchange.getResponseSender().send("");
 	}
 
-	private void accept(HttpServerExchange exchange, byte[] body, long arrivalNanos) {
+	private void accept(HttpServerExchange exchange, byte[] body, BodyBudget.Lease lease, long arrivalNanos) {
 		if (!this.permits.tryAcquire()) {
+			this.bodies.release(lease);
 			RejectionException rejection = RejectionException.notRun("this VM is overloaded", RETRY_AFTER_SECONDS);
 			this.services.metrics().refused(rejection.status());
 			rejectWithoutBody(exchange, rejection);
@@ -157,6 +210,7 @@
 				serve(exchange, body, arrivalNanos);
 			}
 			finally {
+				this.bodies.release(lease);
 				this.running.decrementAndGet();
 				this.permits.release();
 			}
@@ -165,8 +219,7 @@
 
 	private void serve(HttpServerExchange exchange, byte[] body, long arrivalNanos) {
 		CallerConnection connection = new CallerConnection(exchange);
-		CallerFields fields = this.services.protocol()
-			.callerFields((name) -> exchange.getRequestHeaders().getFirst(name));
+		CallerFields fields = callerFields(exchange);
 		CallerResponse response = new CallerResponse(exchange, connection);
 		try {
 			route(exchange, connection, fields, body, arrivalNanos, response);
@@ -323,4 +376,47 @@
 		return catalog;
 	}
 
+	/**
+	 * Takes over a request after its body was read.
+	 *
+	 * @author banyanstile contributors
+	 */
+	private final class BodyReceiver implements RequestBodies.Receiver {
+
+		private final @Nullable Catalog catalog;
+
+		private final long headNanos;
+
+		private BodyReceiver(@Nullable Catalog catalog, long headNanos) {
+			this.catalog = catalog;
+			this.headNanos = headNanos;
+		}
+
+		// A body that waits for memory may take until the caller's deadline.
+		@Override
+		public long maxMillis(HttpServerExchange exchange, boolean waits) {
+			ServedRoute route = (this.catalog != null) ? this.catalog.route(host(exchange), exchange.getRequestURI())
+					: null;
+			long deadline = callerFields(exchange).deadlineMillis();
+			long limit = (deadline >= 0) ? Math.min(deadline, MAX_BODY_MILLIS) : MAX_BODY_MILLIS;
+			return (route == null || (waits && deadline >= 0)) ? limit : Math.min(limit, route.timeoutMillis());
+		}
+
+		@Override
+		public void received(HttpServerExchange exchange, byte[] body, BodyBudget.Lease lease, long waitedNanos) {
+			accept(exchange, body, lease, arrivalNanos(exchange, this.catalog, this.headNanos, waitedNanos));
+		}
+
+		@Override
+		public void failed(HttpServerExchange exchange, IOException cause) {
+			failToRead(exchange, cause);
+		}
+
+		@Override
+		public void refused(HttpServerExchange exchange, String reason) {
+			refuseUnread(exchange, RejectionException.notRun(reason, RETRY_AFTER_SECONDS));
+		}
+
+	}
+
 }
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -15,6 +15,7 @@
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.limit.BodyBudget;
 import org.banyanstile.core.limit.EndpointLimits;
 import org.banyanstile.core.limit.LimitReport;
 import org.banyanstile.core.placement.EndpointHealth;
@@ -105,6 +106,24 @@
 	 */
 	public static Router start(RouterSettings settings, RouterAddresses addresses, InetSocketAddress peerAddress,
 			Collection<String> seeds, Platform platform, DecisionLog log) throws IOException {
+		return start(settings, addresses, peerAddress, seeds, platform,
+				BodyBudget.forHeap(Runtime.getRuntime().maxMemory()), log);
+	}
+
+	/**
+	 * Starts the router with a budget for bodies.
+	 * @param settings deployment settings
+	 * @param addresses addresses to listen at
+	 * @param peerAddress address for datagrams from other VMs
+	 * @param seeds addresses of some other VMs
+	 * @param platform what the platform provides
+	 * @param bodies memory for the bodies of requests and responses
+	 * @param log log of decisions
+	 * @return the router
+	 * @throws IOException if an address cannot be bound
+	 */
+	public static Router start(RouterSettings settings, RouterAddresses addresses, InetSocketAddress peerAddress,
+			Collection<String> seeds, Platform platform, BodyBudget bodies, DecisionLog log) throws IOException {
 		Ticker ticker = Ticker.system();
 		FleetView view = FleetView.create(platform.decoder(), ticker, log);
 		String ownPeerAddress = text(peerAddress);
@@ -125,7 +144,7 @@
 				platform.engines(), loads, health, EndpointPicker.create(loads, health, new Random()),
 				new EndpointClient(platform.client(), platform.requests(), health, limits, log), limits,
 				(key) -> membership.position(key, ticker.nanos()), quarantine, () -> registration.others().size() + 1,
-				log, registry);
+				bodies, log, registry);
 		RequestIntake intake = new RequestIntake(services, quotas, shutdown);
 		RouterServer server = new RouterServer(services, intake, platform.directory(),
 				() -> callerAddresses(membership, shutdown, ticker), shutdown);
--- a/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
@@ -6,14 +6,18 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
 
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.MultiGauge;
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.banyanstile.core.limit.BodyBudget;
 
 /**
  * Counters and histograms of the request path.
@@ -56,6 +60,37 @@
 			.register(this.registry);
 	}
 
+	/**
+	 * Registers the budget for bodies and its use.
+	 * @param bodies the budget
+	 */
+	void bindBodies(BodyBudget bodies) {
+		for (String kind : List.of("request", "response")) {
+			Gauge.builder("banyanstile_body_budget_bytes", bodies, BodyBudget::capacity)
+				.tag("kind", kind)
+				.register(this.registry);
+			bodyRejections(kind);
+		}
+		Gauge.builder("banyanstile_body_bytes", bodies, BodyBudget::requestBytes)
+			.tag("kind", "request")
+			.register(this.registry);
+		Gauge.builder("banyanstile_body_bytes", bodies, BodyBudget::responseBytes)
+			.tag("kind", "response")
+			.register(this.registry);
+	}
+
+	void bindWaitingBodies(RequestBodies bodies, ToDoubleFunction<RequestBodies> waiting) {
+		Gauge.builder("banyanstile_waiting_request_bodies", bodies, waiting).register(this.registry);
+	}
+
+	void bodyRejected(String kind) {
+		bodyRejections(kind).increment();
+	}
+
+	private Counter bodyRejections(String kind) {
+		return this.registry.counter("banyanstile_body_rejections_total", "kind", kind);
+	}
+
 	/**
 	 * Records the outcome of a request and its latency.
 	 * @param kind kind of the route
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -10,6 +10,7 @@
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.catalog.ServedService;
+import org.banyanstile.core.limit.BodyBudget;
 import org.banyanstile.core.limit.ColdRate;
 import org.banyanstile.core.limit.EndpointLimits;
 import org.banyanstile.core.limit.FleetPosition;
@@ -65,6 +66,8 @@
 
 	private final IntSupplier vmCount;
 
+	private final BodyBudget bodies;
+
 	private final DecisionLog log;
 
 	private final RouterMetrics metrics;
@@ -78,7 +81,7 @@
 	RouterServices(RouterSettings settings, FleetView view, RoleChanges roleChanges, RequestProtocol protocol,
 			EngineCalls engineCalls, EndpointLoads loads, EndpointHealth health, EndpointPicker picker,
 			EndpointClient client, EndpointLimits limits, FleetPosition position, CrashQuarantine quarantine,
-			IntSupplier vmCount, DecisionLog log, MeterRegistry registry) {
+			IntSupplier vmCount, BodyBudget bodies, DecisionLog log, MeterRegistry registry) {
 		this.settings = settings;
 		this.view = view;
 		this.roleChanges = roleChanges;
@@ -92,9 +95,11 @@
 		this.position = position;
 		this.quarantine = quarantine;
 		this.vmCount = vmCount;
+		this.bodies = bodies;
 		this.log = log;
 		this.metrics = new RouterMetrics(registry);
 		this.metrics.bindSuppressedLines(log);
+		this.metrics.bindBodies(bodies);
 	}
 
 	FleetView view() {
@@ -162,6 +167,10 @@
 		return this.vmCount.getAsInt();
 	}
 
+	BodyBudget bodies() {
+		return this.bodies;
+	}
+
 	DecisionLog log() {
 		return this.log;
 	}
