Buffer responses within a budget and a share for each endpoint

Cause: up to 8 MB of each response are buffered, in a growing array of up to three times the content, for any number of responses at a time. OutOfMemoryError ended threads that served other requests as well.

Change: bodies of responses are read in chunks that are charged to their endpoint before they are allocated, at once if the length is known; so are partial events and handles. A response that does not fit ends its attempt as an unknown outcome.

--- a/io/src/main/java/org/banyanstile/io/http/HttpException.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpException.java
@@ -8,7 +8,7 @@
  * @author banyanstile contributors
  */
 public abstract sealed class HttpException extends Exception
-		permits ConnectFailedException, ConnectionBrokenException, ResponseTimeoutException {
+		permits BodyMemoryException, ConnectFailedException, ConnectionBrokenException, ResponseTimeoutException {
 
 	private static final long serialVersionUID = 1L;
 
--- a/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
@@ -26,6 +26,8 @@
 
 	private static final int BUFFER_BYTES = 8192;
 
+	private static final int NOT_MODIFIED = 304;
+
 	private final HttpClient client;
 
 	private final HttpRequest request;
@@ -161,17 +163,76 @@
 	 * larger
 	 */
 	public byte[] bytes(int maxBytes) throws HttpException {
+		return body(maxBytes, BodyMemory.UNLIMITED).toByteArray();
+	}
+
+	/**
+	 * Reads the rest of the body in chunks and releases the connection. The memory for a
+	 * body of known length is taken before its first byte is read.
+	 * @param maxBytes largest permitted size in bytes
+	 * @param memory memory for the body
+	 * @return the body
+	 * @throws BodyMemoryException if there is no memory for the body
+	 * @throws HttpException if the connection broke, a read timed out, or the body is
+	 * larger
+	 */
+	public BodyChunks body(int maxBytes, BodyMemory memory) throws HttpException {
 		try (this) {
-			ByteArrayOutputStream out = new ByteArrayOutputStream();
+			long length = bodyLength();
+			checkSize(length, maxBytes);
+			if (length > 0 && !memory.tryAcquire(length)) {
+				throw noMemory(length);
+			}
+			BodyChunks body = BodyChunks.create();
 			while (fill()) {
-				out.write(this.buffer.array(), this.buffer.position(), this.buffer.remaining());
-				this.buffer.position(this.buffer.limit());
-				if (out.size() > maxBytes) {
-					throw new ConnectionBrokenException(
-							"response from " + this.address + " exceeds " + maxBytes + " bytes", null);
+				checkSize((long) body.size() + this.buffer.remaining(), maxBytes);
+				if (!body.append(this.buffer, length - body.size(), (length > 0) ? BodyMemory.UNLIMITED : memory)) {
+					throw noMemory((long) body.size() + this.buffer.remaining());
 				}
 			}
-			return out.toByteArray();
+			return body;
+		}
+	}
+
+	private void checkSize(long size, int maxBytes) throws ConnectionBrokenException {
+		if (size > maxBytes) {
+			throw new ConnectionBrokenException("response from " + this.address + " exceeds " + maxBytes + " bytes",
+					null);
+		}
+	}
+
+	private BodyMemoryException noMemory(long size) {
+		return new BodyMemoryException("no memory for a response from " + this.address + " of " + size + " bytes");
+	}
+
+	// Returns the length of the body, or -1 if its head does not tell.
+	private long bodyLength() {
+		String length = header("Content-Length");
+		if (length == null || this.request.method().equals("HEAD") || status() == NOT_MODIFIED) {
+			return -1;
+		}
+		try {
+			return Long.parseLong(length.strip());
+		}
+		catch (NumberFormatException ex) {
+			return -1;
+		}
+	}
+
+	/**
+	 * Reads and discards the rest of the body and releases the connection.
+	 * @param maxBytes largest permitted size in bytes
+	 * @throws HttpException if the connection broke, a read timed out, or the body is
+	 * larger
+	 */
+	public void drain(int maxBytes) throws HttpException {
+		try (this) {
+			long size = 0;
+			while (fill()) {
+				size += this.buffer.remaining();
+				this.buffer.position(this.buffer.limit());
+				checkSize(size, maxBytes);
+			}
 		}
 	}
 
--- a/server/src/main/java/org/banyanstile/server/router/CallerResponse.java
+++ b/server/src/main/java/org/banyanstile/server/router/CallerResponse.java
@@ -11,6 +11,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import org.banyanstile.io.http.BodyChunks;
 import org.banyanstile.server.caller.CallerConnection;
 import org.jspecify.annotations.Nullable;
 import org.xnio.IoUtils;
@@ -115,13 +116,13 @@
 	 * @param protocol decides which header fields are forwarded
 	 * @throws IOException if the caller has disconnected
 	 */
-	void send(int status, List<Map.Entry<String, String>> headers, byte[] body, RequestProtocol protocol)
+	void send(int status, List<Map.Entry<String, String>> headers, BodyChunks body, RequestProtocol protocol)
 			throws IOException {
-		this.exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
+		this.exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.size());
 		start(status, headers, protocol);
 		OutputStream stream = this.out;
-		if (stream != null && body.length > 0) {
-			stream.write(body);
+		if (stream != null) {
+			body.writeTo(stream);
 		}
 		end();
 	}
--- a/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
+++ b/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
@@ -143,7 +143,7 @@
 	private static void drainRefusal(HttpResponse response) {
 		try {
 			response.setReadTimeout(Duration.ofMillis(100));
-			response.bytes(MAX_REFUSAL_BYTES);
+			response.drain(MAX_REFUSAL_BYTES);
 		}
 		catch (HttpException ex) {
 			// If the body of a refusal does not end in time, the connection is not
--- a/server/src/main/java/org/banyanstile/server/router/EventSplitter.java
+++ b/server/src/main/java/org/banyanstile/server/router/EventSplitter.java
@@ -14,6 +14,12 @@
  */
 final class EventSplitter {
 
+	/**
+	 * Memory of the buffers relative to the size of the incomplete event: two of them
+	 * hold it, each at most three times while it grows.
+	 */
+	static final long BUFFERS = 6;
+
 	private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
 
 	private @Nullable String lastEventId;
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -6,6 +6,9 @@
 
 import org.banyanstile.core.catalog.EngineTraits;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.banyanstile.core.limit.BodyBudget;
+import org.banyanstile.io.http.BodyChunks;
+import org.banyanstile.io.http.BodyMemoryException;
 import org.banyanstile.io.http.ConnectionBrokenException;
 import org.banyanstile.io.http.HttpException;
 import org.banyanstile.io.http.HttpResponse;
@@ -306,7 +309,9 @@
 				this.call.response().start(response.status(), response.headers(), this.services.protocol());
 			}
 			response.setReadTimeout(resumable ? Duration.ofMillis(SILENCE_TIMEOUT_MILLIS) : responseTimeout);
-			relay(response, engine);
+			try (BodyBudget.Lease lease = this.services.bodies().response(engine.id())) {
+				relay(response, engine, lease);
+			}
 			this.services.health().answered(engine.id(), 0, false, System.nanoTime());
 			this.call.response().end();
 			recordComplete(engine);
@@ -314,6 +319,9 @@
 		}
 		catch (HttpException ex) {
 			this.splitter.discardPartialEvent();
+			if (ex instanceof BodyMemoryException) {
+				this.services.metrics().bodyRejected("response");
+			}
 			if (!this.call.isCancelledOrTimedOut()) {
 				this.services.health().unreachable(engine.id(), System.nanoTime());
 			}
@@ -330,7 +338,8 @@
 		}
 	}
 
-	private void relay(HttpResponse response, RegisteredEndpoint engine) throws HttpException, IOException {
+	private void relay(HttpResponse response, RegisteredEndpoint engine, BodyBudget.Lease lease)
+			throws HttpException, IOException {
 		long progressAt = this.call.ageMillis();
 		ByteBuffer bytes = next(response, engine);
 		while (bytes != null) {
@@ -350,6 +359,10 @@
 				}
 				progressAt = this.call.ageMillis();
 			}
+			if (!lease.tryResize(EventSplitter.BUFFERS * this.splitter.pendingBytes())) {
+				throw new BodyMemoryException("no memory for an event from " + engine.id() + " of "
+						+ this.splitter.pendingBytes() + " bytes");
+			}
 			bytes = next(response, engine);
 		}
 		if (this.splitter.pendingBytes() > 0) {
@@ -429,15 +442,17 @@
 
 	// Handles an error status, which means that the engine ran the request.
 	private boolean handleFailure(RegisteredEndpoint engine, HttpResponse response) throws HttpException, IOException {
-		byte[] body = response.bytes(MAX_FAILURE_BYTES);
-		this.services.health().answered(engine.id(), 0, response.status() >= SERVER_ERROR, System.nanoTime());
-		this.attempts.log(engine, Integer.toString(response.status()), "");
-		if (this.call.response().isStarted()
-				|| (response.status() >= SERVER_ERROR && this.attempts.mayRetryAfterRun())) {
-			return false;
+		try (BodyBudget.Lease lease = this.services.bodies().response(engine.id())) {
+			BodyChunks body = response.body(MAX_FAILURE_BYTES, lease::tryAcquire);
+			this.services.health().answered(engine.id(), 0, response.status() >= SERVER_ERROR, System.nanoTime());
+			this.attempts.log(engine, Integer.toString(response.status()), "");
+			if (this.call.response().isStarted()
+					|| (response.status() >= SERVER_ERROR && this.attempts.mayRetryAfterRun())) {
+				return false;
+			}
+			this.call.response().send(response.status(), response.headers(), body, this.services.protocol());
+			return true;
 		}
-		this.call.response().send(response.status(), response.headers(), body, this.services.protocol());
-		return true;
 	}
 
 	private void releaseReservation(DecodeReservation reservation) {
--- a/server/src/main/java/org/banyanstile/server/router/PlainRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/PlainRun.java
@@ -10,6 +10,9 @@
 
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.banyanstile.core.limit.BodyBudget;
+import org.banyanstile.io.http.BodyChunks;
+import org.banyanstile.io.http.BodyMemoryException;
 import org.banyanstile.io.http.HttpException;
 import org.banyanstile.io.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
@@ -41,6 +44,8 @@
 
 	private final CrashGuard crashGuard;
 
+	private final List<BodyBudget.Lease> leases = new ArrayList<>();
+
 	private final Set<String> tried = new HashSet<>();
 
 	private PlainRun(RouterServices services, RouterCall call) {
@@ -58,6 +63,9 @@
 		try (this.crashGuard) {
 			run();
 		}
+		finally {
+			this.leases.forEach(BodyBudget.Lease::close);
+		}
 	}
 
 	private void run() throws RejectionException, IOException {
@@ -84,6 +92,9 @@
 					send(buffered);
 					return;
 				}
+				if (failure != null) {
+					failure.lease().close();
+				}
 				failure = buffered;
 			}
 			catch (NotRunException ex) {
@@ -140,6 +151,8 @@
 
 	private BufferedResponse attempt(RegisteredEndpoint endpoint) throws NotRunException, UnknownOutcomeException {
 		this.tried.add(endpoint.id());
+		BodyBudget.Lease lease = this.services.bodies().response(endpoint.id());
+		this.leases.add(lease);
 		EndpointFields fields = EndpointFields.plain(endpoint.id(), this.call.team(),
 				this.call.endpointTimeoutMillis());
 		long startNanos = System.nanoTime();
@@ -149,7 +162,7 @@
 			.send(this.call, endpoint, fields, MAX_POOLED_IDLE, attemptTimeout())) {
 			response.setReadTimeout(attemptTimeout());
 			BufferedResponse buffered = new BufferedResponse(response.status(), response.headers(),
-					response.bytes(MAX_BODY_BYTES));
+					response.body(MAX_BODY_BYTES, lease::tryAcquire), lease);
 			this.attempts.recordRun();
 			long millis = (System.nanoTime() - startNanos) / 1_000_000;
 			this.services.health()
@@ -158,6 +171,10 @@
 			return buffered;
 		}
 		catch (HttpException ex) {
+			lease.close();
+			if (ex instanceof BodyMemoryException) {
+				this.services.metrics().bodyRejected("response");
+			}
 			if (!this.call.isCancelledOrTimedOut()) {
 				this.services.health().unreachable(endpoint.id(), System.nanoTime());
 			}
@@ -183,9 +200,11 @@
 	 * @param status its status
 	 * @param headers its header fields
 	 * @param body its body
+	 * @param lease memory of the body
 	 * @author banyanstile contributors
 	 */
-	private record BufferedResponse(int status, List<Map.Entry<String, String>> headers, byte[] body) {
+	private record BufferedResponse(int status, List<Map.Entry<String, String>> headers, BodyChunks body,
+			BodyBudget.Lease lease) {
 
 	}
 
--- a/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
+++ b/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
@@ -7,6 +7,7 @@
 
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.banyanstile.core.limit.BodyBudget;
 import org.banyanstile.core.placement.EndpointLoads;
 import org.banyanstile.core.placement.PrefillPlacement;
 import org.banyanstile.io.http.HttpException;
@@ -126,8 +127,9 @@
 		Duration timeout = Duration
 			.ofMillis(Math.max(1, Math.min(PREFILL_TIMEOUT_MILLIS, this.call.remainingMillis())));
 		try (HttpResponse response = this.services.client()
-			.send(this.call, engine, fields, GenerationRun.MAX_POOLED_IDLE, timeout)) {
-			byte[] body = response.bytes(MAX_HANDLE_BYTES);
+			.send(this.call, engine, fields, GenerationRun.MAX_POOLED_IDLE, timeout);
+				BodyBudget.Lease lease = this.services.bodies().response(engine.id())) {
+			byte[] body = response.body(MAX_HANDLE_BYTES, lease::tryAcquire).toByteArray();
 			String handle = (response.status() == GenerationRun.SUCCESS)
 					? this.services.engineCalls().prefillHandle(body) : null;
 			long millis = (System.nanoTime() - startNanos) / 1_000_000;
