--- a/server/src/main/java/org/banyanstile/server/router/OpenExchanges.java
+++ b/server/src/main/java/org/banyanstile/server/router/OpenExchanges.java
@@ -2,7 +2,6 @@
 
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.undertow.server.HttpServerExchange;
@@ -20,7 +19,7 @@
 	 * Time after the limit of its route at which an exchange is closed. Leaves the time
 	 * to cancel the call and to send the response to a time limit that has passed.
 	 */
-	private static final long GRACE_MILLIS = 300;
+	private static final long GRACE_NANOS = 300_000_000;
 
 	/**
 	 * Errors that wait to be logged; further ones are only counted.
@@ -43,12 +42,12 @@
 	/**
 	 * Adds an exchange until it ends.
 	 * @param exchange the exchange
-	 * @param limitMillis time limit of its route
+	 * @param limitMillis time limit until its request has arrived
 	 * @return the added exchange
 	 */
 	OpenExchange add(HttpServerExchange exchange, long limitMillis) {
-		OpenExchange open = new OpenExchange(exchange,
-				System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMillis + GRACE_MILLIS));
+		OpenExchange open = new OpenExchange(exchange);
+		open.setDeadline(System.nanoTime(), limitMillis);
 		exchange.addExchangeCompleteListener((ended, next) -> {
 			this.exchanges.remove(open);
 			next.proceed();
@@ -57,6 +56,13 @@
 		return open;
 	}
 
+	/**
+	 * Records an error after which the exchange still gets a response.
+	 */
+	void recordError() {
+		this.failed.incrementAndGet();
+	}
+
 	/**
 	 * Ends an exchange after an error. Allocates nothing.
 	 * @param open the exchange
@@ -85,7 +91,7 @@
 			if (open.hasEnded()) {
 				this.exchanges.remove(open);
 			}
-			else if (open.isOverdue(now)) {
+			else if (open.isOverdue(now, GRACE_NANOS)) {
 				this.overdue.incrementAndGet();
 				this.exchanges.remove(open);
 				open.close();
