Resume a stream only with a response of the same content type

What callers saw: part of a response that was no event stream in the middle of their stream, which then ended as if it were complete.

Cause: the relay looked at the status and the seal of the response that resumes a stream, not at its content type.

Evidence: StreamFailoverTests, NextResponse.OF_ANOTHER_TYPE on the code before: events 1 to 3 of 5, complete "Expected: is <false> but: was <true>".

Change: a response whose media type differs from that of the head that the caller has received counts as a broken stream of its engine.

Result: 36 of 36 StreamFailoverTests and 15 of 15 GenerationTests pass.

--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -32,6 +32,8 @@
 
 	private static final int SERVER_ERROR = 500;
 
+	private static final String CONTENT_TYPE = "Content-Type";
+
 	private static final int MAX_FAILURE_BYTES = 64 * 1024;
 
 	/**
@@ -106,6 +108,11 @@
 	 */
 	private @Nullable DecodeReservation failoverReservation;
 
+	/**
+	 * Content type of the response that the caller receives.
+	 */
+	private String contentType = "";
+
 	private GenerationRun(RouterServices services, RouterCall call, EngineTraits traits) {
 		this.services = services;
 		this.call = call;
@@ -312,9 +319,7 @@
 			if (response.status() != SUCCESS) {
 				return handleFailure(engine, response);
 			}
-			if (!this.call.response().isStarted()) {
-				this.call.response().start(response.status(), response.headers(), this.services.protocol());
-			}
+			startOrContinue(response, engine);
 			response.setReadTimeout(resumable ? Duration.ofMillis(SILENCE_TIMEOUT_MILLIS) : responseTimeout);
 			relay(response, engine);
 			this.services.health().answered(engine.id(), 0, false, System.nanoTime());
@@ -340,6 +345,19 @@
 		}
 	}
 
+	// The caller keeps the head of the first response.
+	private void startOrContinue(HttpResponse response, RegisteredEndpoint engine) throws StreamMismatchException {
+		String type = String.valueOf(response.header(CONTENT_TYPE)).split(";", 2)[0].strip();
+		if (!this.call.response().isStarted()) {
+			this.contentType = type;
+			this.call.response().start(response.status(), response.headers(), this.services.protocol());
+		}
+		else if (!type.equalsIgnoreCase(this.contentType)) {
+			throw new StreamMismatchException(
+					engine.id() + " sent content of type " + type + " instead of " + this.contentType);
+		}
+	}
+
 	private void relay(HttpResponse response, RegisteredEndpoint engine)
 			throws HttpException, StreamMismatchException, IOException {
 		int earlierEvents = this.splitter.eventCount();
