Do not take a cancelled response for a complete one

What callers saw: nothing yet. A response that the VM itself broke off at a time limit could reach its caller as complete, truncated.

Cause: a socket that this side has closed reads as if the peer had ended the body, below the decoder of lengths and chunks. ResponseReader took that for the end.

Change: the end of a connection that this side has closed is a failure.

Why it works: the connection is marked before its socket is closed, and both happen before the reader sees the end.

--- a/io/src/main/java/org/banyanstile/io/http/ResponseReader.java
+++ b/io/src/main/java/org/banyanstile/io/http/ResponseReader.java
@@ -63,6 +63,10 @@
 			while (n > 0 && this.received.hasRemaining()) {
 				n = receive(source);
 			}
+			// A socket that this side has closed reads as if the peer had ended the body.
+			if (n < 0 && this.connection.isAborted()) {
+				throw new ClosedChannelException();
+			}
 			this.ended = n < 0;
 			this.paused = !this.ended && !this.received.hasRemaining();
 			if (this.ended || this.paused) {
--- a/io/src/test/java/org/banyanstile/io/http/HttpClientTests.java
+++ b/io/src/test/java/org/banyanstile/io/http/HttpClientTests.java
@@ -75,6 +75,32 @@
 		}
 	}
 
+	@Test
+	void cancelledResponseDoesNotLookComplete() throws Exception {
+		String address = serve((exchange) -> {
+			byte[] part = new byte[64 * 1024];
+			exchange.setResponseContentLength(2L * part.length);
+			exchange.getOutputStream().write(part);
+			exchange.getOutputStream().flush();
+			this.released.await();
+		});
+		CallHandle handle = new CallHandle();
+		HttpResponse response = this.client.send(HttpRequest.get(address, "/"), handle);
+		handle.cancel();
+		runQueuedTasks();
+		assertThrows(HttpException.class, () -> {
+			while (response.next() != null) {
+				runQueuedTasks();
+			}
+		});
+	}
+
+	// The client has one I/O thread, which runs its tasks in order.
+	private void runQueuedTasks() {
+		assertThrows(HttpException.class,
+				() -> this.client.send(HttpRequest.get("127.0.0.1:1", "/").withFreshConnection()));
+	}
+
 	@Test
 	void readsLinesWhileTheResponseIsWritten() throws Exception {
 		String address = serve((exchange) -> {
