Detach a call from its connection before others may use it

What callers saw: 502, or a wait up to a time limit, for a call that may be repeated, while another one on the same VM reached its time limit.

Cause: a connection returned to its pool before the call let go of it. If the call was cancelled in between, the connection of the next call was closed.

Change: closing a response detaches its call first, and a cancellation closes the connection under the same lock.

Why it works: either the connection is closed before it is released, so that it is not pooled, or the cancellation no longer knows it.

--- a/io/src/main/java/org/banyanstile/io/http/CallHandle.java
+++ b/io/src/main/java/org/banyanstile/io/http/CallHandle.java
@@ -46,22 +46,30 @@
 		this.pending = null;
 	}
 
+	/**
+	 * Clears the reference to a connection before other calls may use it.
+	 * @param released the connection
+	 */
+	synchronized void release(HttpConnection released) {
+		if (this.connection == released) {
+			this.connection = null;
+		}
+	}
+
 	/**
 	 * Closes the connection of the running call and fails all later calls.
 	 */
 	public void cancel() {
-		HttpConnection running;
 		CompletableFuture<?> waiting;
 		synchronized (this) {
 			this.cancelled = true;
-			running = this.connection;
 			waiting = this.pending;
+			if (this.connection != null) {
+				this.connection.abort();
+			}
 			this.connection = null;
 			this.pending = null;
 		}
-		if (running != null) {
-			running.abort();
-		}
 		if (waiting != null) {
 			waiting.completeExceptionally(new ClosedChannelException());
 		}
--- a/io/src/main/java/org/banyanstile/io/http/HttpClient.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpClient.java
@@ -153,7 +153,7 @@
 			throw new ConnectFailedException("the client is closed", ex);
 		}
 		ResponseStart start = await(responseStart, request);
-		return new HttpResponse(this, request, connection, writer, start.head(), start.reader());
+		return new HttpResponse(this, request, connection, handle, writer, start.head(), start.reader());
 	}
 
 	private static ClientRequest head(HttpRequest request) {
--- a/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
@@ -36,6 +36,8 @@
 
 	private final HttpConnection connection;
 
+	private final CallHandle handle;
+
 	private final RequestWriter writer;
 
 	private final ClientResponse response;
@@ -52,12 +54,13 @@
 
 	private boolean closed;
 
-	HttpResponse(HttpClient client, HttpRequest request, HttpConnection connection, RequestWriter writer,
-			ClientResponse response, ResponseReader reader) {
+	HttpResponse(HttpClient client, HttpRequest request, HttpConnection connection, CallHandle handle,
+			RequestWriter writer, ClientResponse response, ResponseReader reader) {
 		this.client = client;
 		this.request = request;
 		this.address = request.address();
 		this.connection = connection;
+		this.handle = handle;
 		this.writer = writer;
 		this.response = response;
 		this.reader = reader;
@@ -270,6 +273,7 @@
 		}
 		this.closed = true;
 		boolean complete = this.ended && this.reusable && this.writer.isWritten();
+		this.handle.release(this.connection);
 		this.client.release(this.request, this.connection, complete);
 	}
 
--- a/io/src/test/java/org/banyanstile/io/http/HttpClientTests.java
+++ b/io/src/test/java/org/banyanstile/io/http/HttpClientTests.java
@@ -101,6 +101,26 @@
 				() -> this.client.send(HttpRequest.get("127.0.0.1:1", "/").withFreshConnection()));
 	}
 
+	@Test
+	void cancelAfterTheEndOfAResponseLeavesItsConnectionToOthers() throws Exception {
+		String address = serve((exchange) -> {
+			exchange.getOutputStream().write("begin".getBytes(StandardCharsets.UTF_8));
+			if (exchange.getRelativePath().equals("/second")) {
+				exchange.getOutputStream().flush();
+				this.released.await();
+			}
+			exchange.getOutputStream().write("end".getBytes(StandardCharsets.UTF_8));
+		});
+		CallHandle handle = new CallHandle();
+		assertThat(this.client.send(HttpRequest.get(address, "/first"), handle).text(100), is("beginend"));
+		HttpResponse second = this.client.send(HttpRequest.get(address, "/second"));
+		assertThat(second.exchangeNumber(), is(2));
+		handle.cancel();
+		runQueuedTasks();
+		this.released.countDown();
+		assertThat(second.text(100), is("beginend"));
+	}
+
 	@Test
 	void readsLinesWhileTheResponseIsWritten() throws Exception {
 		String address = serve((exchange) -> {
