Do not pass on a promise that an endpoint did not make

What callers saw: nothing yet. A caller whose order ran could get 408, 429 or 503 from a faulty endpoint, which tells it that the order has not run and may be sent again.

Cause: a response with such a status that does not say that the request has not run counted as run, which is right, but went to the caller unchanged.

Change: such a response leaves the outcome unknown: 502, or a retry if the route allows one.

Why it works: only the router's own refusals promise that nothing ran, and these follow from a proof.

--- a/core/src/main/java/org/banyanstile/core/attempt/RefusalStatus.java
+++ b/core/src/main/java/org/banyanstile/core/attempt/RefusalStatus.java
@@ -12,6 +12,10 @@
 
 	private static final int SERVICE_UNAVAILABLE = 503;
 
+	private static final int REQUEST_TIMEOUT = 408;
+
+	private static final int TOO_MANY_REQUESTS = 429;
+
 	private RefusalStatus() {
 	}
 
@@ -26,4 +30,14 @@
 		return status < SERVER_ERROR || status == SERVICE_UNAVAILABLE;
 	}
 
+	/**
+	 * Returns whether a status tells a caller that its request did not run and may be
+	 * sent again.
+	 * @param status status code of a response
+	 * @return whether it does
+	 */
+	public static boolean isPromise(int status) {
+		return status == REQUEST_TIMEOUT || status == TOO_MANY_REQUESTS || status == SERVICE_UNAVAILABLE;
+	}
+
 }
--- a/core/src/test/java/org/banyanstile/core/attempt/RefusalStatusTests.java
+++ b/core/src/test/java/org/banyanstile/core/attempt/RefusalStatusTests.java
@@ -1,5 +1,6 @@
 package org.banyanstile.core.attempt;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -25,4 +26,13 @@
 		assertThat(RefusalStatus.isProof(status), is(false));
 	}
 
+	@Test
+	void statusesThatInviteTheCallerToSendAgainArePromises() {
+		assertThat(RefusalStatus.isPromise(408), is(true));
+		assertThat(RefusalStatus.isPromise(429), is(true));
+		assertThat(RefusalStatus.isPromise(503), is(true));
+		assertThat(RefusalStatus.isPromise(500), is(false));
+		assertThat(RefusalStatus.isPromise(504), is(false));
+	}
+
 }
--- a/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
+++ b/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import org.banyanstile.core.attempt.ConnectionReuse;
+import org.banyanstile.core.attempt.RefusalStatus;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.limit.EndpointLimits;
 import org.banyanstile.core.placement.EndpointHealth;
@@ -98,10 +99,12 @@
 			throw foreignResponse(endpoint, response, fields);
 		}
 		recordLimit(endpoint, fields.requestsPerSecond());
+		if (RefusalStatus.isPromise(response.status())) {
+			throw discarded(response, endpoint.id() + " responded with " + response.status()
+					+ " and did not say that the request has not run");
+		}
 		if (!prefillOnly && !fields.sealed() && response.status() / STATUS_CLASS_SIZE == SUCCESS_CLASS) {
-			response.discard();
-			response.close();
-			throw new UnknownOutcomeException(endpoint.id() + " sent a successful response without its seal");
+			throw discarded(response, endpoint.id() + " sent a successful response without its seal");
 		}
 		return response;
 	}
@@ -126,13 +129,17 @@
 
 	private static UnknownOutcomeException foreignResponse(RegisteredEndpoint endpoint, HttpResponse response,
 			ResponseFields fields) {
-		response.discard();
-		response.close();
 		String id = fields.attemptId();
-		return new UnknownOutcomeException(
+		return discarded(response,
 				endpoint.id() + " sent a response " + ((id != null) ? "to request " + id : "without an id"));
 	}
 
+	private static UnknownOutcomeException discarded(HttpResponse response, String reason) {
+		response.discard();
+		response.close();
+		return new UnknownOutcomeException(reason);
+	}
+
 	private void recordLimit(RegisteredEndpoint endpoint, double perSecond) {
 		if (this.limits.named(endpoint.id(), perSecond, System.nanoTime())) {
 			this.log.stateChange("request limit", "endpoint", endpoint.id(), "service", endpoint.service(), "perSecond",
