Let the HTTP client close connections that serve one call

Change: a request with a fresh connection belongs to no pool, and HttpClient closes the connection after the response. Calls of the emulator's drivers that ask for a fresh connection close it as well.

--- a/io/src/main/java/org/banyanstile/io/http/HttpClient.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpClient.java
@@ -261,6 +261,10 @@
 	}
 
 	void release(HttpRequest request, HttpConnection connection, boolean reusable) {
+		if (!request.isPooled()) {
+			connection.abort();
+			return;
+		}
 		Deque<IdleConnection> connections = this.idle.computeIfAbsent(key(request),
 				(key) -> new ConcurrentLinkedDeque<>());
 		if (!reusable || !connection.isReusable() || connections.size() >= MAX_IDLE_PER_PEER) {
--- a/io/src/main/java/org/banyanstile/io/http/HttpRequest.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpRequest.java
@@ -31,6 +31,11 @@
 	 */
 	public static final Duration DEFAULT_MAX_IDLE = Duration.ofSeconds(30);
 
+	/**
+	 * Pool of requests whose connection is closed after its response.
+	 */
+	private static final String NO_POOL = "none";
+
 	private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(5);
 
 	private static final byte[] NO_BODY = new byte[0];
@@ -44,12 +49,13 @@
 	 * @param body the body, empty if there is none
 	 * @param timeout longest wait for the connection, and separately for the response
 	 * head
-	 * @param freshConnection whether a new connection must be used
+	 * @param freshConnection whether a new connection must be used, which is closed after
+	 * the response
 	 */
 	public HttpRequest(String method, String address, String path, Map<String, String> headers, byte[] body,
 			Duration timeout, boolean freshConnection) {
 		this(method, address, path, headers, body, timeout, timeout, freshConnection ? Duration.ZERO : DEFAULT_MAX_IDLE,
-				"");
+				freshConnection ? NO_POOL : "");
 	}
 
 	/**
@@ -109,11 +115,15 @@
 	}
 
 	/**
-	 * Returns a copy that uses a new connection.
+	 * Returns a copy that uses a new connection, which is closed after the response.
 	 * @return the copy
 	 */
 	public HttpRequest withFreshConnection() {
-		return withMaxIdle(Duration.ZERO);
+		return withMaxIdle(Duration.ZERO).withPool(NO_POOL);
+	}
+
+	boolean isPooled() {
+		return !this.pool.equals(NO_POOL);
 	}
 
 	/**
--- a/server/src/main/java/org/banyanstile/server/endpoint/EngineClient.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/EngineClient.java
@@ -230,12 +230,10 @@
 		}
 	}
 
-	// A late copy of an earlier response on a pooled connection would look like a
-	// refusal,
-	// or name the old holder of a stream, which would then be cancelled.
+	// On a pooled connection a late copy of an earlier response could look like a
+	// refusal, or name the old holder of a stream, which would then be cancelled.
 	private HttpResponse open(HttpRequest request) throws EndpointException, HttpException {
 		HttpResponse response = this.http.send(request.withFreshConnection());
-		response.discard();
 		requireSuccess(response);
 		return response;
 	}
--- a/server/src/main/java/org/banyanstile/server/endpoint/ServiceClient.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/ServiceClient.java
@@ -50,7 +50,6 @@
 		HttpRequest request = new HttpRequest(call.method(), address, call.path(), call.headers(), call.body(),
 				call.timeout(), true);
 		try (HttpResponse response = this.http.send(request)) {
-			response.discard();
 			requireSameRequest(call, response);
 			return new ServiceResponse(response.status(), response.header("Content-Type"),
 					response.bytes(MAX_RESPONSE_BYTES));
--- a/server/src/main/java/org/banyanstile/server/platform/HttpTableStore.java
+++ b/server/src/main/java/org/banyanstile/server/platform/HttpTableStore.java
@@ -118,7 +118,6 @@
 		// A pooled connection can break after a write was sent, and can deliver a late
 		// copy of an earlier reply, which would show the rows as they were before.
 		try (HttpResponse response = this.http.send(request.withFreshConnection())) {
-			response.discard();
 			response.setReadTimeout(TIMEOUT);
 			int status = response.status();
 			String text = response.text(MAX_BYTES);
