Keep the connection of the next request open after an error

A request that had been read, and may have run, would have lost its connection without an answer (LOST).

Cause: OpenExchanges.fail, CallerResponse.abort and CallerServer closed the connection of an exchange also after its end, when the connection carries the next request of the caller.

Evidence: EndedExchangeTests on, 2 of 2 failed: the second request on a connection got no response after the first one failed behind its complete response.

Change: ExchangeCloser closes a connection only while its exchange uses it. It works since the server announces the end of an exchange before it looks for the next request, and this announcement and the close exclude each other.

Result: both tests pass; CallerConnectionTests pass.

--- a/server/src/main/java/org/banyanstile/server/caller/CallerConnection.java
+++ b/server/src/main/java/org/banyanstile/server/caller/CallerConnection.java
@@ -32,6 +32,8 @@
 
 	private final HttpServerExchange exchange;
 
+	private final ExchangeCloser closer;
+
 	private @Nullable ByteArrayOutputStream readAhead;
 
 	private boolean polling = true;
@@ -42,6 +44,7 @@
 	 */
 	public CallerConnection(HttpServerExchange exchange) {
 		this.exchange = exchange;
+		this.closer = ExchangeCloser.create(exchange);
 		exchange.addExchangeCompleteListener((ended, next) -> complete(next));
 	}
 
@@ -134,6 +137,21 @@
 		}
 	}
 
+	/**
+	 * Closes the connection if the exchange has not ended.
+	 */
+	public void close() {
+		this.closer.close();
+	}
+
+	/**
+	 * Closes the connection if the exchange has not ended.
+	 * @param preparation run before the connection is closed
+	 */
+	public void close(Runnable preparation) {
+		this.closer.close(preparation);
+	}
+
 	// The server may have kept the beginning of the same bytes when it parsed the
 	// request.
 	private static void returnBytes(HttpServerConnection connection, byte[] bytes) {
--- a/server/src/main/java/org/banyanstile/server/caller/CallerServer.java
+++ b/server/src/main/java/org/banyanstile/server/caller/CallerServer.java
@@ -16,7 +16,6 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
-import org.xnio.IoUtils;
 import org.xnio.Options;
 
 /**
@@ -160,14 +159,14 @@
 			route(exchange, writer, connection);
 		}
 		catch (RequestException ex) {
-			fail(writer, exchange, ex);
+			fail(writer, connection, ex);
 		}
 		catch (IOException ex) {
-			IoUtils.safeClose(exchange.getConnection());
+			connection.close();
 		}
 		catch (RuntimeException ex) {
 			logger.error("request handler failed", ex);
-			fail(writer, exchange, RequestException.unknown(ErrorType.OUTCOME_UNKNOWN, "internal error"));
+			fail(writer, connection, RequestException.unknown(ErrorType.OUTCOME_UNKNOWN, "internal error"));
 		}
 	}
 
@@ -185,16 +184,16 @@
 		}
 	}
 
-	private static void fail(ResponseWriter writer, HttpServerExchange exchange, RequestException ex) {
+	private static void fail(ResponseWriter writer, CallerConnection connection, RequestException ex) {
 		try {
 			if (writer.started()) {
-				IoUtils.safeClose(exchange.getConnection());
+				connection.close();
 				return;
 			}
 			writer.sendError(ex);
 		}
 		catch (IOException failure) {
-			IoUtils.safeClose(exchange.getConnection());
+			connection.close();
 		}
 	}
 
--- a/server/src/main/java/org/banyanstile/server/router/CallerResponse.java
+++ b/server/src/main/java/org/banyanstile/server/router/CallerResponse.java
@@ -14,7 +14,6 @@
 import org.banyanstile.io.http.BodyChunks;
 import org.banyanstile.server.caller.CallerConnection;
 import org.jspecify.annotations.Nullable;
-import org.xnio.IoUtils;
 import org.xnio.Options;
 
 /**
@@ -152,14 +151,16 @@
 	}
 
 	/**
-	 * Closes the connection, so that a truncated response cannot look complete.
+	 * Closes the connection, so that a truncated response cannot look complete. After a
+	 * complete response the connection stays open.
 	 */
 	void abort() {
 		this.connection.stop();
-		if (!this.exchange.isHttp11()) {
-			resetOnClose();
-		}
-		IoUtils.safeClose(this.exchange.getConnection());
+		this.connection.close(() -> {
+			if (!this.exchange.isHttp11()) {
+				resetOnClose();
+			}
+		});
 	}
 
 	// HTTP/1.0 has no chunks, so an ordinary end of the connection would end the body.
--- a/server/src/main/java/org/banyanstile/server/router/OpenExchange.java
+++ b/server/src/main/java/org/banyanstile/server/router/OpenExchange.java
@@ -3,8 +3,8 @@
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.server.HttpServerExchange;
+import org.banyanstile.server.caller.ExchangeCloser;
 import org.jspecify.annotations.Nullable;
-import org.xnio.IoUtils;
 
 /**
  * Exchange with a caller that has not ended.
@@ -15,6 +15,8 @@
 
 	private final HttpServerExchange exchange;
 
+	private final ExchangeCloser closer;
+
 	private volatile long deadlineNanos;
 
 	private volatile @Nullable String id;
@@ -27,6 +29,7 @@
 
 	OpenExchange(HttpServerExchange exchange) {
 		this.exchange = exchange;
+		this.closer = ExchangeCloser.create(exchange);
 	}
 
 	/**
@@ -69,10 +72,11 @@
 	}
 
 	/**
-	 * Closes the connection, which ends the exchange in every state.
+	 * Closes the connection, which ends the exchange in every state. Does nothing after
+	 * its end.
 	 */
 	void close() {
-		IoUtils.safeClose(this.exchange.getConnection());
+		this.closer.close();
 	}
 
 }
