Answer every request before a planned stop ends

What callers saw: other operators report requests that a stopping machine took late in the grace and cut with no answer, among them some that may not be repeated (LOST). Here, with a short grace, orders, generations, queued generations and orders with a slow body lost their connection without an answer.

Cause: GracefulShutdown accepted every request for 2.8 s, whenever the process exits; the end of the drain time closed the connections of what still ran; requests whose body was arriving did not count as running.

Change: a request is accepted only if it ends before the exit, by its time limit or, for what may run again and for streams, by the duration of 95 in 100 requests of its service. 300 ms before the exit the calls that run are cancelled, and their own path answers 503 or 502 by what it knows. Incomplete requests get 503 when nothing is accepted any more. The exit waits for complete responses instead of running calls.

--- a/server/src/main/java/org/banyanstile/server/router/CallAttempts.java
+++ b/server/src/main/java/org/banyanstile/server/router/CallAttempts.java
@@ -112,6 +112,10 @@
 	 * @return the rejection, which says that the call has not run only if that is certain
 	 */
 	RejectionException rejection(String reason, double retryAfterSeconds) {
+		if (this.call.isCancelledForExit()) {
+			return hasRun() ? RejectionException.unknownOutcome(RejectionException.SHUTTING_DOWN)
+					: RejectionException.shuttingDown();
+		}
 		if (!hasRun()) {
 			return RejectionException.notRun(reason, retryAfterSeconds);
 		}
--- a/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
@@ -85,6 +85,9 @@
 						return reservation;
 					}
 				}
+				if (this.call.isCancelledForExit()) {
+					throw RejectionException.shuttingDown();
+				}
 				if (this.call.isCancelledOrTimedOut() || this.call.ageMillis() > maxAgeMillis) {
 					throw RejectionException.notRun("no engine has enough free memory for the request",
 							retryAfterSeconds(queue));
@@ -97,7 +100,7 @@
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
-			throw RejectionException.notRun("this VM is shutting down", 0.1);
+			throw RejectionException.shuttingDown();
 		}
 		finally {
 			queue.remove(ticket);
--- a/server/src/main/java/org/banyanstile/server/router/GracefulShutdown.java
+++ b/server/src/main/java/org/banyanstile/server/router/GracefulShutdown.java
@@ -5,26 +5,31 @@
 import org.banyanstile.core.common.Ticker;
 
 /**
- * Graceful shutdown of this VM: decides which requests are still accepted and when the
- * process may exit. During a rolling restart, callers that cached an older directory
- * response still send requests.
+ * Graceful shutdown of this VM: decides which requests are still accepted, when those
+ * that still run are ended with an answer, and when the process may exit. During a
+ * rolling restart, callers that cached an older directory response still send requests.
  *
  * @author banyanstile contributors
  */
 final class GracefulShutdown {
 
 	/**
-	 * Time for which every request is accepted. By its end callers have asked the
-	 * directory again, whose responses are cached for 2 s, and most accepted requests
-	 * still complete in time.
+	 * Time for which requests are accepted that probably complete before this VM exits.
+	 * By its end callers have asked the directory again, whose responses are cached for 2
+	 * s.
 	 */
-	static final Duration ACCEPT_ALL_PERIOD = Duration.ofMillis(2800);
+	static final Duration ACCEPT_LIKELY_PERIOD = Duration.ofMillis(2800);
 
 	/**
 	 * Time for which requests are accepted whose time limit ends before this VM exits.
 	 */
 	static final Duration ACCEPT_SHORT_PERIOD = Duration.ofMillis(4500);
 
+	/**
+	 * Time to answer the requests that still run at the end.
+	 */
+	static final Duration ANSWER_PERIOD = Duration.ofMillis(300);
+
 	/**
 	 * Part of the shutdown time reserved for the exit of the process, several times what
 	 * closing the listeners takes on a busy VM.
@@ -71,28 +76,49 @@
 	 * the process exits is rejected, so that its caller has time to use another VM.
 	 * @param remainingMillis time in milliseconds until the request completes or times
 	 * out
+	 * @param likelyMillis time in milliseconds in which a request of this kind completes
+	 * with high probability
 	 * @return whether it is accepted
 	 */
-	boolean accepts(long remainingMillis) {
+	boolean accepts(long remainingMillis, long likelyMillis) {
 		if (!hasBegun()) {
 			return true;
 		}
 		long elapsedNanos = elapsedNanos();
-		if (elapsedNanos < Math.min(ACCEPT_ALL_PERIOD.toNanos(), this.drainNanos)) {
-			return true;
-		}
+		long neededMillis = (elapsedNanos < ACCEPT_LIKELY_PERIOD.toNanos()) ? Math.min(remainingMillis, likelyMillis)
+				: remainingMillis;
 		return elapsedNanos < ACCEPT_SHORT_PERIOD.toNanos()
-				&& elapsedNanos + remainingMillis * 1_000_000 <= this.drainNanos;
+				&& elapsedNanos + neededMillis * 1_000_000 <= endOfRunsNanos();
+	}
+
+	/**
+	 * Returns whether no further request is accepted.
+	 * @return whether all are rejected
+	 */
+	boolean acceptsNone() {
+		return hasBegun() && elapsedNanos() >= Math.min(ACCEPT_SHORT_PERIOD.toNanos(), endOfRunsNanos());
+	}
+
+	/**
+	 * Returns whether the requests that still run are to be ended with an answer.
+	 * @return whether they are
+	 */
+	boolean mustEndRuns() {
+		return hasBegun() && elapsedNanos() >= endOfRunsNanos();
 	}
 
 	/**
 	 * Returns whether the process may exit.
-	 * @param running number of requests that are still running
+	 * @param unanswered number of requests whose response is not complete
 	 * @return whether it may
 	 */
-	boolean mayExit(int running) {
+	boolean mayExit(int unanswered) {
 		long elapsedNanos = elapsedNanos();
-		return elapsedNanos >= this.drainNanos || (elapsedNanos >= ACCEPT_SHORT_PERIOD.toNanos() && running == 0);
+		return elapsedNanos >= this.drainNanos || (elapsedNanos >= ACCEPT_SHORT_PERIOD.toNanos() && unanswered == 0);
+	}
+
+	private long endOfRunsNanos() {
+		return this.drainNanos - ANSWER_PERIOD.toNanos();
 	}
 
 	private long elapsedNanos() {
--- a/server/src/main/java/org/banyanstile/server/router/OpenExchange.java
+++ b/server/src/main/java/org/banyanstile/server/router/OpenExchange.java
@@ -54,6 +54,10 @@
 		return this.exchange.isComplete() || !this.exchange.getConnection().isOpen();
 	}
 
+	boolean isAnswered() {
+		return this.exchange.isResponseComplete() || hasEnded();
+	}
+
 	/**
 	 * Returns whether the deadline has passed. The grace time begins with the first check
 	 * after it, so that a process that was frozen still sends its response.
--- a/server/src/main/java/org/banyanstile/server/router/OpenExchanges.java
+++ b/server/src/main/java/org/banyanstile/server/router/OpenExchanges.java
@@ -103,6 +103,14 @@
 		}
 	}
 
+	/**
+	 * Returns the number of exchanges whose response is not complete.
+	 * @return the number
+	 */
+	int unanswered() {
+		return (int) this.exchanges.stream().filter((open) -> !open.isAnswered()).count();
+	}
+
 	private boolean logFailure(DecisionLog log) {
 		String id;
 		Throwable cause;
--- a/server/src/main/java/org/banyanstile/server/router/RejectionException.java
+++ b/server/src/main/java/org/banyanstile/server/router/RejectionException.java
@@ -28,6 +28,13 @@
 
 	private static final int GATEWAY_TIMEOUT = 504;
 
+	/**
+	 * {@code Retry-After} of a VM that shuts down. Other VMs serve at once.
+	 */
+	private static final double SHUTDOWN_RETRY_AFTER_SECONDS = 0.1;
+
+	static final String SHUTTING_DOWN = "this VM is shutting down";
+
 	private final int status;
 
 	private final double retryAfterSeconds;
@@ -68,6 +75,14 @@
 		return new RejectionException(UNAVAILABLE, reason, retryAfterSeconds);
 	}
 
+	/**
+	 * The request has not run and never will, because this VM is shutting down.
+	 * @return the exception
+	 */
+	static RejectionException shuttingDown() {
+		return notRun(SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER_SECONDS);
+	}
+
 	/**
 	 * The request may have run.
 	 * @param reason what is known
--- a/server/src/main/java/org/banyanstile/server/router/RequestBodies.java
+++ b/server/src/main/java/org/banyanstile/server/router/RequestBodies.java
@@ -4,6 +4,8 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 
@@ -46,6 +48,8 @@
 
 	private final Deque<Upload> waiting = new ArrayDeque<>();
 
+	private final Set<Upload> uploads = ConcurrentHashMap.newKeySet();
+
 	RequestBodies(BodyBudget budget) {
 		this.budget = budget;
 	}
@@ -78,10 +82,19 @@
 			exchange.dispatch((Executor) upload, (HttpHandler) upload);
 		}
 		if (!upload.done) {
+			this.uploads.add(upload);
 			upload.endAfter(receiver.maxMillis(exchange, !admitted));
 		}
 	}
 
+	/**
+	 * Refuses all requests whose bodies are incomplete or wait for memory.
+	 * @param reason why
+	 */
+	void refuseAll(String reason) {
+		this.uploads.forEach((upload) -> upload.exchange.getIoThread().execute(() -> upload.refuse(reason, reason)));
+	}
+
 	/**
 	 * Returns the number of requests whose bodies wait for memory.
 	 * @return the number
@@ -194,7 +207,7 @@
 
 		private XnioExecutor.@Nullable Key timer;
 
-		private boolean timedOut;
+		private @Nullable String refusalWhileWaiting;
 
 		private boolean done;
 
@@ -228,14 +241,18 @@
 		}
 
 		private void timeOut() {
+			refuse("the request body did not arrive in time", "no memory for the request body");
+		}
+
+		private void refuse(String reasonWhileReading, String reasonWhileWaiting) {
 			if (this.done) {
 				return;
 			}
-			this.timedOut = true;
+			this.refusalWhileWaiting = reasonWhileWaiting;
 			StreamSourceChannel reading = this.channel;
 			if (reading != null) {
 				reading.suspendReads();
-				Connectors.executeRootHandler(refused("the request body did not arrive in time"), this.exchange);
+				Connectors.executeRootHandler(refused(reasonWhileReading), this.exchange);
 			}
 			else if (stopWaiting(this)) {
 				resume();
@@ -247,8 +264,9 @@
 			if (this.start != null) {
 				this.waitedNanos = System.nanoTime() - this.createdNanos;
 			}
-			if (this.timedOut) {
-				refused("no memory for the request body").handleRequest(started);
+			String refusal = this.refusalWhileWaiting;
+			if (refusal != null) {
+				refused(refusal).handleRequest(started);
 				return;
 			}
 			StreamSourceChannel opened = started.getRequestChannel();
@@ -354,6 +372,7 @@
 
 		private void end() {
 			this.done = true;
+			RequestBodies.this.uploads.remove(this);
 			XnioExecutor.Key limit = this.timer;
 			if (limit != null) {
 				limit.remove();
--- a/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
+++ b/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
@@ -14,6 +14,7 @@
 import io.undertow.server.RequestTooBigException;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
+import org.banyanstile.core.catalog.CallKind;
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.EngineTraits;
 import org.banyanstile.core.catalog.ServedRoute;
@@ -102,6 +103,8 @@
 
 	private final OpenExchanges exchanges = new OpenExchanges();
 
+	private final ServiceDurations durations = new ServiceDurations();
+
 	RequestIntake(RouterServices services, TeamQuotas quotas, GracefulShutdown shutdown) {
 		this.services = services;
 		this.quotas = quotas;
@@ -139,6 +142,29 @@
 		return this.running.get();
 	}
 
+	/**
+	 * Returns the number of requests that arrive or run and whose response is not
+	 * complete.
+	 * @return the number
+	 */
+	int unanswered() {
+		return this.exchanges.unanswered();
+	}
+
+	/**
+	 * Refuses the requests whose bodies are still arriving.
+	 */
+	void refuseIncompleteRequests() {
+		this.bodies.refuseAll(RejectionException.SHUTTING_DOWN);
+	}
+
+	/**
+	 * Ends all calls that still run with an answer.
+	 */
+	void endCalls() {
+		this.calls.forEach(RouterCall::cancelForExit);
+	}
+
 	@Override
 	public void handleRequest(HttpServerExchange exchange) throws Exception {
 		long arrivalNanos = System.nanoTime();
@@ -301,8 +327,8 @@
 			throw RejectionException.notRun("the service of the route is not configured", RETRY_AFTER_SECONDS);
 		}
 		RouterCall call = new RouterCall(exchange, connection, fields, route, name, team, body, arrivalNanos, response);
-		if (!this.shutdown.accepts(call.remainingMillis())) {
-			throw RejectionException.notRun("this VM is shutting down", RETRY_AFTER_SECONDS);
+		if (!this.shutdown.accepts(call.remainingMillis(), likelyMillis(call))) {
+			throw RejectionException.shuttingDown();
 		}
 		if (this.shutdown.hasBegun()) {
 			call.response().closeConnectionAfterResponse();
@@ -316,6 +342,7 @@
 		this.calls.add(call);
 		try {
 			run(call, service);
+			this.durations.record(name, call.ageMillis());
 			this.services.metrics().completed(route.kind().name(), "answered", call.ageMillis());
 		}
 		catch (RejectionException ex) {
@@ -333,6 +360,12 @@
 		}
 	}
 
+	// A plain call that must not be repeated has to end before this VM exits in any case.
+	private long likelyMillis(RouterCall call) {
+		return (call.route().kind() == CallKind.ONCE_ONLY) ? Long.MAX_VALUE
+				: this.durations.likelyMillis(call.service());
+	}
+
 	private static String loggedParts(CallerFields fields) {
 		return String.join(",",
 				fields.sharedParts().subList(0, Math.min(MAX_LOGGED_PARTS, fields.sharedParts().size())));
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -197,7 +197,7 @@
 
 	/**
 	 * Shuts down: withdraws from the directory at once, serves callers with a cached
-	 * directory response for some time, and completes running requests.
+	 * directory response for some time, and answers all requests before it exits.
 	 */
 	@Override
 	public void close() {
@@ -205,10 +205,16 @@
 		this.gossip.announce();
 		this.log.lifecycle("stopping", "running", this.intake.running());
 		boolean interrupted = false;
-		while (!interrupted && !this.shutdown.mayExit(this.intake.running())) {
+		while (!interrupted && !this.shutdown.mayExit(this.intake.unanswered())) {
+			if (this.shutdown.acceptsNone()) {
+				this.intake.refuseIncompleteRequests();
+			}
+			if (this.shutdown.mustEndRuns()) {
+				this.intake.endCalls();
+			}
 			interrupted = !pause();
 		}
-		this.log.lifecycle("stopped", "running", this.intake.running());
+		this.log.lifecycle("stopped", "running", this.intake.running(), "unanswered", this.intake.unanswered());
 		this.roleController.close();
 		this.reader.close();
 		this.registration.close();
--- a/server/src/main/java/org/banyanstile/server/router/RouterCall.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterCall.java
@@ -67,6 +67,8 @@
 
 	private volatile boolean timedOut;
 
+	private volatile boolean vmStopping;
+
 	RouterCall(HttpServerExchange exchange, CallerConnection connection, CallerFields fields, ServedRoute route,
 			String service, @Nullable TeamPolicy team, byte[] body, long arrivalNanos, CallerResponse response) {
 		this.exchange = exchange;
@@ -206,12 +208,24 @@
 		}
 	}
 
+	/**
+	 * Cancels the call because this VM exits.
+	 */
+	void cancelForExit() {
+		this.vmStopping = true;
+		this.callHandle.cancel();
+	}
+
 	boolean isCallerDisconnected() {
 		return this.callerDisconnected;
 	}
 
+	boolean isCancelledForExit() {
+		return this.vmStopping;
+	}
+
 	boolean isCancelledOrTimedOut() {
-		return this.callerDisconnected || this.timedOut || remainingMillis() == 0;
+		return this.callerDisconnected || this.timedOut || this.vmStopping || remainingMillis() == 0;
 	}
 
 	/**
