Answer an exchange at its deadline instead of closing it

What callers saw: an order whose thread did not respond by the time limit of its route lost its connection 0.3 s later, without an answer.

Cause: the guard behind the deadline could only close, since nothing decided which thread may respond.

Change: one thread gets the right to respond. At the deadline the guard takes it and sends 504 from the I/O thread; an exchange whose response has begun is closed as before. The thread that returns late neither responds nor closes the connection.

--- a/server/src/main/java/org/banyanstile/server/router/CallerResponse.java
+++ b/server/src/main/java/org/banyanstile/server/router/CallerResponse.java
@@ -23,19 +23,24 @@
  */
 final class CallerResponse {
 
+	private static final long UNKNOWN_LENGTH = -1;
+
 	private final HttpServerExchange exchange;
 
 	private final CallerConnection connection;
 
+	private final OpenExchange open;
+
 	private final DecisionLog log;
 
 	private @Nullable OutputStream out;
 
 	private boolean closesConnection;
 
-	CallerResponse(HttpServerExchange exchange, CallerConnection connection, DecisionLog log) {
+	CallerResponse(HttpServerExchange exchange, CallerConnection connection, OpenExchange open, DecisionLog log) {
 		this.exchange = exchange;
 		this.connection = connection;
+		this.open = open;
 		this.log = log;
 	}
 
@@ -55,15 +60,26 @@
 	 * @param status its status
 	 * @param headers its header fields
 	 * @param protocol decides which header fields are forwarded
+	 * @throws IOException if the exchange was answered at its deadline
 	 */
-	void start(int status, List<Map.Entry<String, String>> headers, RequestProtocol protocol) {
+	void start(int status, List<Map.Entry<String, String>> headers, RequestProtocol protocol) throws IOException {
+		start(status, headers, UNKNOWN_LENGTH, protocol);
+	}
+
+	private void start(int status, List<Map.Entry<String, String>> headers, long length, RequestProtocol protocol)
+			throws IOException {
+		List<Map.Entry<String, String>> forwarded = headers.stream()
+			.filter((header) -> protocol.isForwardedToCaller(header.getKey()))
+			.toList();
+		takeResponse();
 		this.exchange.setStatusCode(status);
-		for (Map.Entry<String, String> header : headers) {
-			if (protocol.isForwardedToCaller(header.getKey())) {
-				this.exchange.getResponseHeaders().add(new HttpString(header.getKey()), header.getValue());
-			}
+		for (Map.Entry<String, String> header : forwarded) {
+			this.exchange.getResponseHeaders().add(new HttpString(header.getKey()), header.getValue());
 		}
-		if (!this.exchange.getResponseHeaders().contains(Headers.CONTENT_LENGTH) && this.exchange.isHttp11()) {
+		if (length >= 0) {
+			this.exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, length);
+		}
+		else if (!this.exchange.getResponseHeaders().contains(Headers.CONTENT_LENGTH) && this.exchange.isHttp11()) {
 			// On a connection that will close, a body without chunked coding ends with
 			// the connection, so a truncated body would look complete.
 			this.exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
@@ -71,6 +87,12 @@
 		open();
 	}
 
+	private void takeResponse() throws IOException {
+		if (!this.open.tryTakeResponse()) {
+			throw new IOException("the exchange was answered at its deadline");
+		}
+	}
+
 	private OutputStream open() {
 		if (this.closesConnection) {
 			this.exchange.setPersistent(false);
@@ -121,8 +143,7 @@
 	 */
 	void send(int status, List<Map.Entry<String, String>> headers, BodyChunks body, RequestProtocol protocol)
 			throws IOException {
-		this.exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.size());
-		start(status, headers, protocol);
+		start(status, headers, body.size(), protocol);
 		OutputStream stream = this.out;
 		if (stream != null) {
 			body.writeTo(stream);
@@ -138,6 +159,7 @@
 	void reject(RejectionException rejection) throws IOException {
 		byte[] body = ("{\"error\":\"" + rejection.getMessage().replace('"', '\'') + "\"}")
 			.getBytes(StandardCharsets.UTF_8);
+		takeResponse();
 		this.exchange.setStatusCode(rejection.status());
 		this.exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
 		this.exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
@@ -152,10 +174,13 @@
 
 	/**
 	 * Closes the connection, so that a truncated response cannot look complete. After a
-	 * complete response the connection stays open.
+	 * complete response, or an answer at the deadline, the connection is left as it is.
 	 */
 	void abort() {
 		this.connection.stop();
+		if (this.open.isAnsweredAtDeadline()) {
+			return;
+		}
 		this.connection.close(() -> {
 			if (!this.exchange.isHttp11()) {
 				resetOnClose();
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -354,7 +354,8 @@
 	}
 
 	// The caller keeps the head of the first response.
-	private void startOrContinue(HttpResponse response, RegisteredEndpoint engine) throws StreamMismatchException {
+	private void startOrContinue(HttpResponse response, RegisteredEndpoint engine)
+			throws StreamMismatchException, IOException {
 		String type = String.valueOf(response.header(CONTENT_TYPE)).split(";", 2)[0].strip();
 		if (!this.call.response().isStarted()) {
 			this.contentType = type;
--- a/server/src/main/java/org/banyanstile/server/router/OpenExchange.java
+++ b/server/src/main/java/org/banyanstile/server/router/OpenExchange.java
@@ -1,8 +1,12 @@
 package org.banyanstile.server.router;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
 import org.banyanstile.server.caller.ExchangeCloser;
 import org.jspecify.annotations.Nullable;
 
@@ -21,6 +25,10 @@
 
 	private volatile @Nullable String id;
 
+	private final AtomicBoolean responseTaken = new AtomicBoolean();
+
+	private volatile boolean answeredAtDeadline;
+
 	/**
 	 * {@link System#nanoTime()} at which the deadline was first seen to have passed, 0 if
 	 * it was not.
@@ -75,6 +83,42 @@
 		return nowNanos - this.overdueNanos > graceNanos;
 	}
 
+	/**
+	 * Takes the right to send the response, which only one thread gets.
+	 * @return whether it was taken
+	 */
+	boolean tryTakeResponse() {
+		return this.responseTaken.compareAndSet(false, true);
+	}
+
+	/**
+	 * Answers the exchange in place of the thread that serves it, unless that thread has
+	 * begun to respond.
+	 * @return whether the answer is sent
+	 */
+	boolean tryAnswerAtDeadline() {
+		if (!tryTakeResponse()) {
+			return false;
+		}
+		this.answeredAtDeadline = true;
+		this.exchange.getIoThread().execute(this::sendTimeout);
+		return true;
+	}
+
+	boolean isAnsweredAtDeadline() {
+		return this.answeredAtDeadline;
+	}
+
+	private void sendTimeout() {
+		RejectionException rejection = RejectionException.timedOut();
+		this.exchange.setPersistent(false);
+		this.exchange.setStatusCode(rejection.status());
+		this.exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+		this.exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+		String body = "{\"error\":\"" + rejection.getMessage() + "\"}";
+		this.exchange.getResponseSender().send(ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)));
+	}
+
 	/**
 	 * Closes the connection, which ends the exchange in every state. Does nothing after
 	 * its end.
--- a/server/src/main/java/org/banyanstile/server/router/OpenExchanges.java
+++ b/server/src/main/java/org/banyanstile/server/router/OpenExchanges.java
@@ -8,19 +8,25 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * All exchanges with callers that have not ended. One that fails, or whose deadline
- * passes, ends with its connection, whatever the thread that serves it does.
+ * All exchanges with callers that have not ended. One whose deadline passes is answered,
+ * or its connection is closed if the response has begun, whatever the thread that serves
+ * it does. One that fails ends with its connection.
  *
  * @author banyanstile contributors
  */
 final class OpenExchanges {
 
 	/**
-	 * Time after the limit of its route at which an exchange is closed. Leaves the time
-	 * to cancel the call and to send the response to a time limit that has passed.
+	 * Time after the limit of its route at which an exchange is ended. Leaves the time to
+	 * cancel the call and to send the response to a time limit that has passed.
 	 */
 	private static final long GRACE_NANOS = 300_000_000;
 
+	/**
+	 * Time in which the caller can receive an answer that was sent at the deadline.
+	 */
+	private static final long ANSWER_NANOS = 1_000_000_000;
+
 	/**
 	 * Errors that wait to be logged; further ones are only counted.
 	 */
@@ -92,10 +98,7 @@
 				this.exchanges.remove(open);
 			}
 			else if (open.isOverdue(now, GRACE_NANOS)) {
-				this.overdue.incrementAndGet();
-				this.exchanges.remove(open);
-				open.close();
-				log.request("overdue", open.id(), "reason", "the exchange did not end by its deadline and was closed");
+				end(open, now, log);
 			}
 		}
 		while (logFailure(log)) {
@@ -103,6 +106,26 @@
 		}
 	}
 
+	private void end(OpenExchange open, long nowNanos, DecisionLog log) {
+		if (open.tryAnswerAtDeadline()) {
+			this.overdue.incrementAndGet();
+			log.request("overdue", open.id(), "reason", "the exchange did not end by its deadline and was answered");
+		}
+		else if (!open.isAnsweredAtDeadline()) {
+			this.overdue.incrementAndGet();
+			close(open);
+			log.request("overdue", open.id(), "reason", "the exchange did not end by its deadline and was closed");
+		}
+		else if (open.isOverdue(nowNanos, GRACE_NANOS + ANSWER_NANOS)) {
+			close(open);
+		}
+	}
+
+	private void close(OpenExchange open) {
+		this.exchanges.remove(open);
+		open.close();
+	}
+
 	/**
 	 * Returns the number of exchanges whose response is not complete.
 	 * @return the number
--- a/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
+++ b/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
@@ -116,7 +116,7 @@
 
 	/**
 	 * Cancels calls whose caller has disconnected or whose time limit has passed, and
-	 * closes exchanges that have not ended some time after it.
+	 * ends exchanges that have not ended some time after it.
 	 */
 	void cancelEndedCalls() {
 		try {
@@ -276,7 +276,7 @@
 		CallerConnection connection = new CallerConnection(exchange);
 		CallerFields fields = callerFields(exchange);
 		open.setId(fields.attemptId());
-		CallerResponse response = new CallerResponse(exchange, connection, this.services.log());
+		CallerResponse response = new CallerResponse(exchange, connection, open, this.services.log());
 		try {
 			route(exchange, connection, fields, body, arrivalNanos, response);
 		}
--- a/server/src/test/java/org/banyanstile/server/router/EndedExchangeTests.java
+++ b/server/src/test/java/org/banyanstile/server/router/EndedExchangeTests.java
@@ -58,7 +58,7 @@
 
 	private void respond(HttpServerExchange exchange) {
 		OpenExchange open = this.exchanges.add(exchange, TIMEOUT_MILLIS);
-		CallerResponse response = new CallerResponse(exchange, new CallerConnection(exchange), this.log);
+		CallerResponse response = new CallerResponse(exchange, new CallerConnection(exchange), open, this.log);
 		boolean first = exchange.getRequestHeaders().contains("X-First");
 		try {
 			if (!first) {
