Bound a whole response of an endpoint by the time limit of its call

What callers saw: an order at banyanstiled whose service sent its body in single bytes was never answered, although its deadline was 2 s, and held a worker for good (LOST).

Cause: each read of a response had the time limit of the call, all reads together had none. The router's calls are cancelled by a timer, those of banyanstiled are not.

Change: HttpResponse.setDeadline. Calls of services, prefills, transfers and control calls of banyanstiled set it. A read after the deadline fails as a timeout does, so the outcome is unknown and the connection is closed.

Result: HostileEndpointTests and HttpClientTests pass.

--- a/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderValues;
@@ -46,8 +47,12 @@
 
 	private final ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES).flip();
 
+	private final ByteArrayOutputStream incompleteLine = new ByteArrayOutputStream();
+
 	private Duration timeout;
 
+	private @Nullable Long deadlineNanos;
+
 	private boolean ended;
 
 	private boolean reusable = true;
@@ -147,6 +152,15 @@
 		this.timeout = timeout;
 	}
 
+	/**
+	 * Sets a deadline for all further reads, however often bytes arrive. Without one,
+	 * single bytes can keep a reader waiting without end.
+	 * @param time the time from now
+	 */
+	public void setDeadline(Duration time) {
+		this.deadlineNanos = System.nanoTime() + time.toNanos();
+	}
+
 	/**
 	 * Reads the rest of the body as UTF-8 text and releases the connection.
 	 * @param maxBytes largest permitted size in bytes
@@ -240,18 +254,19 @@
 	}
 
 	/**
-	 * Reads one line, without its line feed.
+	 * Reads one line, without its line feed. After a timeout the next call continues the
+	 * line.
 	 * @param maxBytes largest permitted size of the line in bytes
 	 * @return the line, or {@code null} at the end of the body
 	 * @throws HttpException if the connection broke, a read timed out, or the line is
 	 * longer
 	 */
 	public @Nullable String line(int maxBytes) throws HttpException {
-		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		ByteArrayOutputStream out = this.incompleteLine;
 		while (fill()) {
 			byte b = this.buffer.get();
 			if (b == '\n') {
-				return out.toString(StandardCharsets.UTF_8);
+				return completeLine();
 			}
 			out.write(b);
 			if (out.size() > maxBytes) {
@@ -259,7 +274,13 @@
 						null);
 			}
 		}
-		return (out.size() > 0) ? out.toString(StandardCharsets.UTF_8) : null;
+		return (out.size() > 0) ? completeLine() : null;
+	}
+
+	private String completeLine() {
+		String line = this.incompleteLine.toString(StandardCharsets.UTF_8);
+		this.incompleteLine.reset();
+		return line;
 	}
 
 	/**
@@ -298,10 +319,17 @@
 	}
 
 	private int read() throws IOException, ResponseTimeoutException {
-		int n = this.reader.read(this.buffer, this.timeout.toMillis());
+		long waitMillis = this.timeout.toMillis();
+		Long deadline = this.deadlineNanos;
+		if (deadline != null) {
+			waitMillis = Math.min(waitMillis, TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime()));
+			if (waitMillis <= 0) {
+				throw new ResponseTimeoutException(this.address + " sent no complete response by the deadline", null);
+			}
+		}
+		int n = this.reader.read(this.buffer, waitMillis);
 		if (n == 0) {
-			throw new ResponseTimeoutException(this.address + " sent no data for " + this.timeout.toMillis() + " ms",
-					null);
+			throw new ResponseTimeoutException(this.address + " sent no data for " + waitMillis + " ms", null);
 		}
 		return n;
 	}
--- a/server/src/main/java/org/banyanstile/server/endpoint/EngineClient.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/EngineClient.java
@@ -28,6 +28,12 @@
 	 */
 	static final Duration TRANSFER_STALL_TIMEOUT = Duration.ofMillis(200);
 
+	/**
+	 * Bounds a transfer whose progress lines have no end, as the prefill before it is
+	 * bounded.
+	 */
+	private static final Duration MAX_TRANSFER_TIME = Duration.ofSeconds(20);
+
 	private static final Duration PREFILL_TIMEOUT = Duration.ofSeconds(20);
 
 	private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(2);
@@ -97,6 +103,7 @@
 		HttpRequest request = HttpRequest.postJson(address, "/engine/v1/kv/import", EndpointJson.write(body))
 			.withTimeout(TRANSFER_STALL_TIMEOUT);
 		try (HttpResponse response = open(request)) {
+			response.setDeadline(MAX_TRANSFER_TIME);
 			awaitTransfer(response);
 		}
 		catch (ResponseTimeoutException ex) {
@@ -223,6 +230,7 @@
 
 	private String sendForText(HttpRequest request) throws EndpointException {
 		try (HttpResponse response = open(request)) {
+			response.setDeadline(request.timeout());
 			return response.text(MAX_BODY_BYTES);
 		}
 		catch (HttpException ex) {
@@ -241,6 +249,7 @@
 	private static void requireSuccess(HttpResponse response) throws EndpointException, HttpException {
 		if (response.status() != 200) {
 			try (response) {
+				response.setDeadline(CONTROL_TIMEOUT);
 				String error = EndpointJson.read(response.text(MAX_LINE_BYTES)).path("error").asText();
 				throw new EndpointRefusedException(response.status(), error);
 			}
--- a/server/src/main/java/org/banyanstile/server/endpoint/ServiceClient.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/ServiceClient.java
@@ -49,7 +49,9 @@
 			throws EndpointUnreachableException, EndpointBrokenException {
 		HttpRequest request = new HttpRequest(call.method(), address, call.path(), call.headers(), call.body(),
 				call.timeout(), true);
+		long startNanos = System.nanoTime();
 		try (HttpResponse response = this.http.send(request)) {
+			response.setDeadline(call.timeout().minusNanos(System.nanoTime() - startNanos));
 			requireSameRequest(call, response);
 			return new ServiceResponse(response.status(), response.header("Content-Type"),
 					response.bytes(MAX_RESPONSE_BYTES));
