End a stream of an engine that sends too much or completes no line

What callers saw: a generation at banyanstiled whose engine sends valid tokens without end never ended, and the VM kept all of them; one whose engine sends single bytes got no keep-alive, and the VM did not notice when its caller left (LOST).

Cause: DecodeStream knew the maximum number of tokens and did not compare it; a token could have 256 KB; a read returned only with a whole line.

Evidence: HostileEndpointTests on: generationWithMoreTokensThanItsLimitFails (2 of 2), generationWithTokensOfAnySizeFails, streamInSingleBytes... and one form of streamWhoseResponseHasNoEndFails failed: not ended after 20 s.

Change: more tokens than asked for, or more than 1 MB of text, lose the stream at once. An event has at most 16 KB. A wait for a token ends after its time also within a line, and the next one continues the line.

Result: HostileEndpointTests (29), ChatTests, ServiceTests and EngineClientTests pass.

--- a/server/src/main/java/org/banyanstile/server/endpoint/DecodeStream.java
+++ b/server/src/main/java/org/banyanstile/server/endpoint/DecodeStream.java
@@ -17,7 +17,15 @@
  */
 public final class DecodeStream implements AutoCloseable {
 
-	private static final int MAX_LINE_BYTES = 256 * 1024;
+	/**
+	 * Largest event, many times that of the longest token of a vocabulary.
+	 */
+	private static final int MAX_LINE_BYTES = 16 * 1024;
+
+	/**
+	 * Largest text of a response, as of a response of a plain service.
+	 */
+	private static final int MAX_TEXT_CHARACTERS = 1024 * 1024;
 
 	/**
 	 * Number of failures without new data after which the stream is reported as lost.
@@ -42,6 +50,8 @@
 
 	private long nextOffset;
 
+	private int textCharacters;
+
 	private int consecutiveFailures;
 
 	private int resumeCount;
@@ -136,6 +146,8 @@
 
 	private DecodeEvent read(HttpResponse response, Duration wait) throws EndpointException {
 		response.setReadTimeout(wait);
+		// Bytes that complete no line must not keep the caller from being served.
+		response.setDeadline(wait);
 		try {
 			String line = response.line(MAX_LINE_BYTES);
 			if (line == null) {
@@ -168,7 +180,14 @@
 		if (!node.path("text").isTextual()) {
 			throw new EndpointBrokenException("chunk has no text", null);
 		}
-		return new DecodeEvent.Chunk(this.nextOffset++, node.path("text").asText());
+		String text = node.path("text").asText();
+		this.textCharacters += text.length();
+		if (this.nextOffset >= this.maxTokens || this.textCharacters > MAX_TEXT_CHARACTERS) {
+			throw new StreamLostException(
+					"engine sent more than " + this.maxTokens + " tokens or " + MAX_TEXT_CHARACTERS + " characters",
+					null);
+		}
+		return new DecodeEvent.Chunk(this.nextOffset++, text);
 	}
 
 	/**
--- a/server/src/test/java/org/banyanstile/server/HostileEndpointTests.java
+++ b/server/src/test/java/org/banyanstile/server/HostileEndpointTests.java
@@ -20,14 +20,18 @@
 import org.banyanstile.io.http.HttpResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.anEmptyMap;
+import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
 
 /**
  * Tests of a whole VM against an endpoint whose responses have no end, or stop at any
@@ -171,6 +175,62 @@
 		assertThat(TestVm.await(5000, () -> this.service.responding() == 0), is(true));
 	}
 
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void generationWithMoreTokensThanItsLimitFails(boolean stream) throws Exception {
+		this.engine.setBehaviour((request, connection) -> {
+			RawEndpoint.send(connection, CHUNKED);
+			String from = request.replaceAll("(?s).*\"fromOffset\":(\\d+).*", "$1");
+			for (long i = Long.parseLong(from);; i++) {
+				RawEndpoint.send(connection, RawEndpoint.chunk(RawEndpoint.word(request, i)));
+			}
+		});
+		for (String text : callWithinMemory((number) -> chat(stream))) {
+			assertThat(text, not(endsWith("DONE")));
+			assertThat(text.startsWith("200"), is(false));
+		}
+		assertThat(TestVm.await(5000, () -> this.engine.responding() == 0), is(true));
+	}
+
+	@Test
+	void generationWithTokensOfAnySizeFails() throws Exception {
+		String text = "x".repeat(200_000);
+		this.engine.setBehaviour((request, connection) -> {
+			RawEndpoint.send(connection, CHUNKED);
+			for (long i = 0;; i++) {
+				RawEndpoint.send(connection,
+						RawEndpoint.chunk(RawEndpoint.word(request, i).replaceAll("w\\d+ ", text)));
+			}
+		});
+		for (String response : callWithinMemory((number) -> chat(false))) {
+			assertThat(response.startsWith("200"), is(false));
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { CHUNKED + "|a\r\nabcdefghij\r\n", CHUNKED + "|1\r\n\n\r\n", CHUNKED + "|0",
+			"HTTP/1.1 200 OK\r\nX-Long: |abcdefghij", "HTTP/1.1 200 OK\r\n|X-Filler: abcdefghij\r\n" })
+	void streamWhoseResponseHasNoEndFails(String parts) throws Exception {
+		String[] part = parts.split("\\|");
+		this.engine.setBehaviour((request, connection) -> repeat(connection, part[0], part[1]));
+		for (String text : callWithinMemory((number) -> chat(true))) {
+			assertThat(text, not(endsWith("DONE")));
+		}
+	}
+
+	/**
+	 * Guards against a worker that an engine holds by single bytes after its caller has
+	 * left.
+	 */
+	@Test
+	void streamInSingleBytesWithoutALineIsKeptAliveAndReleased() throws Exception {
+		this.engine.setBehaviour((request, connection) -> trickle(connection, CHUNKED, "1\r\na\r\n"));
+		try (HttpResponse response = this.vm.send(this.vm.chat(true).withTimeout(Duration.ofSeconds(3)))) {
+			assertThat(response.line(1000), startsWith(": keep-alive"));
+		}
+		assertThat(TestVm.await(3000, () -> this.engine.responding() == 0), is(true));
+	}
+
 	@ParameterizedTest
 	@ValueSource(booleans = { false, true })
 	void orderWhoseResponseStopsAtAnyByteIsNotAnsweredAsComplete(boolean chunked) throws Exception {
@@ -191,6 +251,27 @@
 		assertThat(this.service.requests(), is(whole.length()));
 	}
 
+	@Test
+	void streamThatStopsAtAnyByteIsCompletedOrFails() throws Exception {
+		int length = RawEndpoint.words("", 2).length() + 200;
+		List<Integer> wrong = new ArrayList<>();
+		for (int i = 0; i < length; i += 7) {
+			int cut = i;
+			this.engine.setBehaviour((request, connection) -> {
+				boolean first = request.contains("\"fromOffset\":0");
+				String whole = RawEndpoint.words(request, 2) + RawEndpoint.finish(request, 2);
+				RawEndpoint.send(connection, first ? whole.substring(0, Math.min(cut, whole.length()))
+						: CHUNKED + RawEndpoint.finish(request, 2));
+				connection.close();
+			});
+			String text = chat(true);
+			if (text.endsWith("DONE") && !text.equals("w0 w1 DONE")) {
+				wrong.add(cut);
+			}
+		}
+		assertThat(wrong, is(List.of()));
+	}
+
 	/**
 	 * A call to the VM.
 	 *
