Close the connection of a banyanstiled request after an error of memory

Cause: CallerServer caught exceptions only.

Evidence: CallerServerTests.exhaustedMemoryEndsTheExchange on the code before: read timed out after 3 s.

Change: the connection is closed before the error is logged.

--- a/server/src/main/java/org/banyanstile/server/caller/CallerServer.java
+++ b/server/src/main/java/org/banyanstile/server/caller/CallerServer.java
@@ -168,6 +168,11 @@
 			logger.error("request handler failed", ex);
 			fail(writer, connection, RequestException.unknown(ErrorType.OUTCOME_UNKNOWN, "internal error"));
 		}
+		catch (Error ex) {
+			// Closed before anything is logged, since memory may be exhausted.
+			connection.close();
+			logger.error("request handler failed and its connection was closed", ex);
+		}
 	}
 
 	private void route(HttpServerExchange exchange, ResponseWriter writer, CallerConnection connection)
