Measure how long a new endpoint waits for its first request

Nothing measured it.

Change: banyanstile_first_request_seconds, from the moment at which this VM sees a new endpoint until it sends it a request, and banyanstile_endpoints_without_request. Endpoints that are known when the VM starts do not count.

--- a/server/src/main/java/org/banyanstile/server/router/CallAttempts.java
+++ b/server/src/main/java/org/banyanstile/server/router/CallAttempts.java
@@ -33,6 +33,7 @@
 	 */
 	void beginAttempt(RegisteredEndpoint endpoint) {
 		this.resends.begin(endpoint.id());
+		this.services.recordRequest(endpoint);
 	}
 
 	/**
--- a/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
@@ -130,6 +130,27 @@
 			.record(millis, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Registers the number of endpoints that joined and wait for their first request.
+	 * @param requests the first requests
+	 */
+	void bindFirstRequests(FirstRequests requests) {
+		Gauge.builder("banyanstile_endpoints_without_request", requests, FirstRequests::waiting)
+			.register(this.registry);
+	}
+
+	/**
+	 * Records how long an endpoint that joined waited for its first request of this VM.
+	 * @param millis the time in milliseconds
+	 */
+	void firstRequest(long millis) {
+		Timer.builder("banyanstile_first_request_seconds")
+			.serviceLevelObjectives(Duration.ofMillis(250), Duration.ofMillis(1000), Duration.ofMillis(2000),
+					Duration.ofMillis(4000), Duration.ofMillis(9000))
+			.register(this.registry)
+			.record(millis, TimeUnit.MILLISECONDS);
+	}
+
 	void longestPause(String kind, long millis) {
 		Timer.builder("banyanstile_longest_pause_seconds")
 			.tag("kind", kind)
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -22,6 +22,7 @@
 import org.banyanstile.core.placement.PrefillSpeeds;
 import org.banyanstile.core.placement.RoleChanges;
 import org.banyanstile.core.quarantine.CrashQuarantine;
+import org.banyanstile.server.view.FleetTable;
 import org.banyanstile.server.view.FleetView;
 
 /**
@@ -72,6 +73,8 @@
 
 	private final RouterMetrics metrics;
 
+	private final FirstRequests firstRequests;
+
 	private final Map<String, AdmissionQueue> admissionQueues = new ConcurrentHashMap<>();
 
 	private final Map<String, RetryShare> retryShares = new HashMap<>();
@@ -100,6 +103,30 @@
 		this.metrics = new RouterMetrics(registry);
 		this.metrics.bindSuppressedLines(log);
 		this.metrics.bindBodies(bodies);
+		this.firstRequests = FirstRequests.create(this.metrics::firstRequest);
+		this.metrics.bindFirstRequests(this.firstRequests);
+		view.onChange(this::updateFirstRequests);
+	}
+
+	private void updateFirstRequests(FleetTable table) {
+		if (table == FleetTable.ENDPOINTS) {
+			List<String> usable = this.view.snapshot()
+				.usable()
+				.values()
+				.stream()
+				.flatMap(List::stream)
+				.map(RegisteredEndpoint::id)
+				.toList();
+			this.firstRequests.update(usable, System.nanoTime());
+		}
+	}
+
+	/**
+	 * Records that a request is about to be sent to an endpoint.
+	 * @param endpoint the endpoint
+	 */
+	void recordRequest(RegisteredEndpoint endpoint) {
+		this.firstRequests.sent(endpoint.id(), System.nanoTime());
 	}
 
 	FleetView view() {
