Do not answer a refused request a second time at its deadline

Cause: a request that was not read completely is refused without taking the right to respond, so the guard of the deadline tried to answer it again.

Evidence: EndedExchangeTests.exchangeThatWasRefusedIsNotAnsweredAtItsDeadline failed before, with an exception on the I/O thread. The caller had its response already.

--- a/server/src/main/java/org/banyanstile/server/router/OpenExchange.java
+++ b/server/src/main/java/org/banyanstile/server/router/OpenExchange.java
@@ -97,7 +97,8 @@
 	 * @return whether the answer is sent
 	 */
 	boolean tryAnswerAtDeadline() {
-		if (!tryTakeResponse()) {
+		// A request that was not read completely is refused without taking the response.
+		if (this.exchange.isResponseStarted() || !tryTakeResponse()) {
 			return false;
 		}
 		this.answeredAtDeadline = true;
--- a/server/src/test/java/org/banyanstile/server/router/EndedExchangeTests.java
+++ b/server/src/test/java/org/banyanstile/server/router/EndedExchangeTests.java
@@ -20,6 +20,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
 
 /**
  * Tests that an error after the end of an exchange does not close its connection under
@@ -59,6 +60,11 @@
 	private void respond(HttpServerExchange exchange) {
 		OpenExchange open = this.exchanges.add(exchange, TIMEOUT_MILLIS);
 		CallerResponse response = new CallerResponse(exchange, new CallerConnection(exchange), open, this.log);
+		if (exchange.getRequestHeaders().contains("X-Refused")) {
+			exchange.getResponseSender().send("{}");
+			this.served.add(new Served(open, response));
+			return;
+		}
 		boolean first = exchange.getRequestHeaders().contains("X-First");
 		try {
 			if (!first) {
@@ -123,6 +129,18 @@
 		assertSecondIsAnswered((first) -> first.response().abort());
 	}
 
+	@Test
+	void exchangeThatWasRefusedIsNotAnsweredAtItsDeadline() throws Exception {
+		InetSocketAddress address = (InetSocketAddress) this.server.getListenerInfo().get(0).getAddress();
+		try (Socket caller = new Socket("127.0.0.1", address.getPort())) {
+			caller.setSoTimeout(TIMEOUT_MILLIS);
+			send(caller, REQUEST.replace("Host: h", "Host: h\r\nX-Refused: yes"));
+			assertThat(read(caller.getInputStream()), containsString(" 200 "));
+			Served refused = this.served.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+			assertThat(refused.open().tryAnswerAtDeadline(), is(false));
+		}
+	}
+
 	/**
 	 * An error on the path of a request whose response is complete.
 	 */
