Log each trial of a request that is suspected to crash endpoints

Cause: a request that was sent although it has quarantined traits left the same log lines as one that was sent by a VM without the evidence. Change: a trial line before the send names the request and its quarantined traits, and a trial ended line the outcome. No decision changes.

--- a/core/src/main/java/org/banyanstile/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/banyanstile/core/quarantine/CrashQuarantine.java
@@ -179,6 +179,19 @@
 		return false;
 	}
 
+	/**
+	 * Returns the traits for which a request holds trials.
+	 * @param call identity of the request
+	 * @return the traits
+	 */
+	public synchronized List<Long> trials(Object call) {
+		return this.suspicions.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().isTrialOf(call))
+			.map(Map.Entry::getKey)
+			.toList();
+	}
+
 	/**
 	 * Ends the trials that a request holds.
 	 * @param call identity of the request
--- a/server/src/main/java/org/banyanstile/server/router/CrashGuard.java
+++ b/server/src/main/java/org/banyanstile/server/router/CrashGuard.java
@@ -1,7 +1,9 @@
 package org.banyanstile.server.router;
 
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.jspecify.annotations.Nullable;
@@ -24,6 +26,8 @@
 
 	private boolean answered;
 
+	private boolean onTrial;
+
 	CrashGuard(RouterServices services, RouterCall call) {
 		this.services = services;
 		this.call = call;
@@ -48,9 +52,30 @@
 		}
 		long nanos = this.services.quarantine()
 			.refusedNanos(this.call, traits(), this.services.vmCount(), System.nanoTime());
+		if (nanos <= 0) {
+			logTrial();
+		}
 		return nanos / NANOS_PER_SECOND;
 	}
 
+	private void logTrial() {
+		List<Long> trials = this.onTrial ? List.of() : this.services.quarantine().trials(this.call);
+		if (trials.isEmpty()) {
+			return;
+		}
+		this.onTrial = true;
+		this.services.log()
+			.stateChange("trial", "request", this.call.id(), "traits",
+					trials.stream().map(HexFormat.of()::toHexDigits).collect(Collectors.joining(" ")));
+	}
+
+	private void logTrialEnd(String outcome) {
+		if (this.onTrial) {
+			this.onTrial = false;
+			this.services.log().stateChange("trial ended", "request", this.call.id(), "outcome", outcome);
+		}
+	}
+
 	boolean isRefused() {
 		return refusedSeconds() > 0;
 	}
@@ -81,6 +106,7 @@
 				.stateChange("quarantined", "trait", HexFormat.of().toHexDigits(trait), "endpoint", endpoint.id(),
 						"request", this.call.id());
 		}
+		logTrialEnd("crash of " + endpoint.id());
 	}
 
 	/**
@@ -91,6 +117,7 @@
 			return;
 		}
 		this.answered = true;
+		logTrialEnd("answer");
 		// Answered prompt parts are remembered; a whole request matters only as a
 		// suspect.
 		if (!this.call.fields().sharedParts().isEmpty() || !this.services.quarantine().isEmpty()) {
@@ -104,6 +131,7 @@
 	@Override
 	public void close() {
 		this.services.quarantine().end(this.call);
+		logTrialEnd("none");
 	}
 
 }
