Show that refused callers who return together crash several more endpoints

Cause under test: each VM decides alone when it tries a quarantined request again, and hears of another VM's trial only after it ended. Change: a simulated fleet of 8, 60 and 1,100 VMs with the real quarantines, in which 60 callers return exactly when they are told to.

--- /dev/null
+++ b/core/src/test/java/org/banyanstile/core/quarantine/CrashTrialFleet.java
@@ -0,0 +1,279 @@
+package org.banyanstile.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A simulated fleet with the quarantines of its VMs, gossip between them, and callers of
+ * one request that crashes the endpoints that run it. Refused callers return exactly when
+ * they are told to, at any VM.
+ *
+ * @author banyanstile contributors
+ */
+final class CrashTrialFleet {
+
+	static final long REQUEST = Traits.ofRequest(1000);
+
+	private static final long ROUND_MILLIS = 250;
+
+	private static final int TARGETS_PER_ROUND = 8;
+
+	private static final int CALLERS = 60;
+
+	private static final long FIRST_REFUSALS_MILLIS = 1500;
+
+	/**
+	 * Time in which callers that were told the same moment return.
+	 */
+	private static final int RETURN_SPREAD_MILLIS = 100;
+
+	private static final int MIN_RUN_MILLIS = 80;
+
+	private static final int MAX_RUN_MILLIS = 200;
+
+	private static final int DATAGRAM_MILLIS = 5;
+
+	private final Random random;
+
+	private final Fault fault;
+
+	private final List<SimulatedVm> vms = new ArrayList<>();
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::millis).thenComparingLong(Event::number));
+
+	private long millis;
+
+	private long eventCount;
+
+	private int crashes;
+
+	private int refusals;
+
+	CrashTrialFleet(int size, Fault fault, long seed) {
+		this.random = new Random(seed);
+		this.fault = fault;
+		for (int i = 0; i < size; i++) {
+			SimulatedVm vm = new SimulatedVm(CrashQuarantine.create(new Random(this.random.nextLong())));
+			this.vms.add(vm);
+			at(this.random.nextInt((int) ROUND_MILLIS), () -> gossip(vm));
+		}
+	}
+
+	/**
+	 * Plays a fleet until some time after the first trial.
+	 * @param seconds the time
+	 */
+	void run(long seconds) {
+		for (int i = 0; i < CrashQuarantine.QUARANTINE_CRASHES; i++) {
+			at(50L * i, () -> call(anyVm()));
+		}
+		for (int i = CrashQuarantine.QUARANTINE_CRASHES; i < CALLERS; i++) {
+			at(FIRST_REFUSALS_MILLIS + this.random.nextInt(1000), () -> call(anyVm()));
+		}
+		for (int i = 0; i < this.vms.size(); i += 3) {
+			this.fault.plan(this, this.vms.get(i));
+		}
+		while (!this.events.isEmpty() && this.events.peek().millis() <= TimeUnit.SECONDS.toMillis(seconds)) {
+			Event event = this.events.poll();
+			this.millis = event.millis();
+			event.action().run();
+		}
+	}
+
+	/**
+	 * Returns the number of endpoints that crashed after the quarantine began.
+	 * @return the number
+	 */
+	int crashesAfterTheThird() {
+		return this.crashes - CrashQuarantine.QUARANTINE_CRASHES;
+	}
+
+	int refusals() {
+		return this.refusals;
+	}
+
+	private void at(long time, Runnable action) {
+		this.events.add(new Event(time, this.eventCount++, action));
+	}
+
+	private long nanos() {
+		return TimeUnit.DAYS.toNanos(1) + TimeUnit.MILLISECONDS.toNanos(this.millis);
+	}
+
+	// Callers avoid VMs that do not respond.
+	private SimulatedVm anyVm() {
+		SimulatedVm vm = this.vms.get(this.random.nextInt(this.vms.size()));
+		while (!vm.isServing(this.millis)) {
+			vm = this.vms.get(this.random.nextInt(this.vms.size()));
+		}
+		return vm;
+	}
+
+	private void call(SimulatedVm vm) {
+		Object call = new Object();
+		long wait = vm.quarantine.refusedNanos(call, List.of(REQUEST), this.vms.size(), nanos());
+		if (wait > 0) {
+			this.refusals++;
+			long returnMillis = this.millis + TimeUnit.NANOSECONDS.toMillis(wait)
+					+ this.random.nextInt(RETURN_SPREAD_MILLIS);
+			at(returnMillis, () -> call(anyVm()));
+			return;
+		}
+		at(this.millis + MIN_RUN_MILLIS + this.random.nextInt(MAX_RUN_MILLIS - MIN_RUN_MILLIS), () -> {
+			vm.quarantine.crashed(call, List.of(REQUEST), ++this.crashes, nanos());
+			vm.quarantine.end(call);
+		});
+	}
+
+	private void gossip(SimulatedVm vm) {
+		at(this.millis + ROUND_MILLIS, () -> gossip(vm));
+		if (vm.isFrozen(this.millis)) {
+			return;
+		}
+		List<CrashEvidence> reports = vm.quarantine.reports(nanos());
+		for (int i = 0; i < Math.min(TARGETS_PER_ROUND, this.vms.size()); i++) {
+			SimulatedVm target = this.vms.get(vm.nextTarget++ % this.vms.size());
+			boolean lost = vm.isCutOff(this.millis) != target.isCutOff(this.millis)
+					|| this.random.nextDouble() < this.fault.loss;
+			if (!lost) {
+				at(this.millis + DATAGRAM_MILLIS, () -> target.receive(reports, nanos()));
+			}
+		}
+	}
+
+	/**
+	 * What happens to a third of the VMs.
+	 *
+	 * @author banyanstile contributors
+	 */
+	enum Fault {
+
+		/**
+		 * Nothing.
+		 */
+		NONE(0),
+
+		/**
+		 * A third of all datagrams are lost.
+		 */
+		LOST_DATAGRAMS(0.33),
+
+		/**
+		 * The VMs are replaced by ones without evidence, just before callers return.
+		 */
+		STARTED(0) {
+
+			@Override
+			void plan(CrashTrialFleet fleet, SimulatedVm vm) {
+				fleet.at(4000, vm::restart);
+			}
+
+		},
+
+		/**
+		 * The VMs stand still until just before callers return.
+		 */
+		FROZEN(0) {
+
+			@Override
+			void plan(CrashTrialFleet fleet, SimulatedVm vm) {
+				vm.frozenFrom = 1000;
+				vm.frozenTo = 4100;
+			}
+
+		},
+
+		/**
+		 * The VMs and the other ones do not hear each other.
+		 */
+		CUT_OFF(0) {
+
+			@Override
+			void plan(CrashTrialFleet fleet, SimulatedVm vm) {
+				vm.cutFrom = 3000;
+				vm.cutTo = 25_000;
+			}
+
+		};
+
+		private final double loss;
+
+		Fault(double loss) {
+			this.loss = loss;
+		}
+
+		void plan(CrashTrialFleet fleet, SimulatedVm vm) {
+		}
+
+	}
+
+	/**
+	 * Something that happens at a time.
+	 *
+	 * @param millis the time
+	 * @param number number by which events of the same time are ordered
+	 * @param action what happens
+	 * @author banyanstile contributors
+	 */
+	private record Event(long millis, long number, Runnable action) {
+
+	}
+
+	/**
+	 * A VM of the fleet.
+	 *
+	 * @author banyanstile contributors
+	 */
+	private static final class SimulatedVm {
+
+		private CrashQuarantine quarantine;
+
+		private int nextTarget;
+
+		private long frozenFrom = Long.MAX_VALUE;
+
+		private long frozenTo = Long.MAX_VALUE;
+
+		private long cutFrom = Long.MAX_VALUE;
+
+		private long cutTo = Long.MAX_VALUE;
+
+		/**
+		 * A VM serves after it received the fleet's state from another one.
+		 */
+		private boolean informed = true;
+
+		private SimulatedVm(CrashQuarantine quarantine) {
+			this.quarantine = quarantine;
+		}
+
+		private void restart() {
+			this.quarantine = CrashQuarantine.create(new Random(1));
+			this.informed = false;
+		}
+
+		private boolean isFrozen(long millis) {
+			return millis >= this.frozenFrom && millis < this.frozenTo;
+		}
+
+		private boolean isCutOff(long millis) {
+			return millis >= this.cutFrom && millis < this.cutTo;
+		}
+
+		private boolean isServing(long millis) {
+			return this.informed && !isFrozen(millis);
+		}
+
+		private void receive(List<CrashEvidence> reports, long nanos) {
+			this.quarantine.merge(reports, nanos);
+			this.informed = true;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/banyanstile/core/quarantine/CrashTrialTests.java
@@ -0,0 +1,51 @@
+package org.banyanstile.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.banyanstile.core.quarantine.CrashTrialFleet.Fault;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+
+/**
+ * Tests of the trials of requests that crashed endpoints, in whole fleets.
+ *
+ * @author banyanstile contributors
+ */
+class CrashTrialTests {
+
+	private static final int SEEDS = 5;
+
+	/**
+	 * Less than the pause before the second trial.
+	 */
+	private static final long SECONDS = 45;
+
+	/**
+	 * Guards against trials by several VMs when refused callers return at the same
+	 * moment.
+	 */
+	@Tag("known-red")
+	@ParameterizedTest
+	@ValueSource(ints = { 8, 60, 1100 })
+	void refusedCallersThatReturnAtTheSameMomentCrashOneMoreEndpoint(int size) {
+		List<String> violations = new ArrayList<>();
+		for (Fault fault : Fault.values()) {
+			for (int seed = 0; seed < SEEDS; seed++) {
+				CrashTrialFleet fleet = new CrashTrialFleet(size, fault, seed);
+				fleet.run(SECONDS);
+				assertThat(fleet.refusals(), greaterThan(0));
+				if (fleet.crashesAfterTheThird() > 1) {
+					violations.add(fault + " with seed " + seed + ": " + fleet.crashesAfterTheThird());
+				}
+			}
+		}
+		assertThat(violations, empty());
+	}
+
+}
