Send gossip to the VMs in an order of each VM's own

What callers saw: in fleets of more than nine VMs what one VM learns, such as the crash of an endpoint, reaches the others late, and they decide without it. Cause: all VMs went through the others in the same order. VMs that start together then send to the same eight in each round, so news spreads to eight more VMs a round, whatever the size of the fleet. Change: each VM orders the others by rendezvous hash with its own address. Each of them still hears from it once per turn. Why it works: the VMs that know in a round send to different ones, so their number multiplies.

--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -72,7 +72,7 @@
 
 	private final Random random = new Random();
 
-	private final PeerRotation rotation = new PeerRotation();
+	private final PeerRotation rotation;
 
 	private final ScheduledExecutorService timer;
 
@@ -86,6 +86,7 @@
 			DecisionLog log) {
 		this.channel = channel;
 		this.membership = membership;
+		this.rotation = PeerRotation.of(membership.self().peerAddress());
 		this.view = view;
 		this.local = local;
 		this.ticker = ticker;
--- a/server/src/test/java/org/banyanstile/server/gossip/HeartbeatSpreadTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/HeartbeatSpreadTests.java
@@ -44,7 +44,7 @@
 		}
 		for (GossipMember member : all) {
 			vms.put(member.peerAddress(), Membership.of(member));
-			rotations.put(member.peerAddress(), new PeerRotation());
+			rotations.put(member.peerAddress(), PeerRotation.of(member.peerAddress()));
 			vms.get(member.peerAddress()).merge(all, 0);
 		}
 		int missing = 0;
--- a/server/src/test/java/org/banyanstile/server/gossip/PeerRotationTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/PeerRotationTests.java
@@ -9,6 +9,8 @@
 
 import org.banyanstile.core.limit.SharedQuota;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsInAnyOrder;
@@ -24,7 +26,9 @@
  */
 class PeerRotationTests {
 
-	private final PeerRotation rotation = new PeerRotation();
+	private static final int ROUNDS_IN_TWO_SECONDS = 8;
+
+	private final PeerRotation rotation = PeerRotation.of("10.0.1.0:7600");
 
 	private static List<String> addresses(int count) {
 		List<String> addresses = new ArrayList<>();
@@ -93,4 +97,27 @@
 		assertThat(reached, hasSize(21));
 	}
 
+	/**
+	 * Guards against VMs that started together and all send to the same few others.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 60, 300, 1100 })
+	void newsReachesAFleetThatStartedTogetherWithinTwoSeconds(int size) {
+		List<String> all = addresses(size);
+		Map<String, PeerRotation> rotations = new HashMap<>();
+		all.forEach((address) -> rotations.put(address, PeerRotation.of(address)));
+		Set<String> informed = new HashSet<>(all.subList(size / 2, size / 2 + 1));
+		for (int round = 0; round < ROUNDS_IN_TWO_SECONDS; round++) {
+			Set<String> senders = Set.copyOf(informed);
+			for (String address : all) {
+				List<String> others = all.stream().filter((other) -> !other.equals(address)).toList();
+				List<String> targets = rotations.get(address).next(others);
+				if (senders.contains(address)) {
+					informed.addAll(targets);
+				}
+			}
+		}
+		assertThat(informed, hasSize(size));
+	}
+
 }
