Leave a claim free when a trial that never held it is given up

Cause: to give up a claim, TrialLock first wrote the claim itself to learn the versions of its rows; on rows that do not exist that write would have applied and denied the trial for a minute. Read in the code; not seen, since claims are given up only after they were acquired. Change: the first write already carries the value that frees the row. The request of the store is built in steps. Result: TrialLockTests.aReleaseOfAnUnknownClaimLeavesItFree; TrialLockTests and CrashingRequestTests pass.

--- a/core/src/main/java/org/banyanstile/core/quarantine/TrialClaim.java
+++ b/core/src/main/java/org/banyanstile/core/quarantine/TrialClaim.java
@@ -4,7 +4,7 @@
 
 /**
  * Claim of a VM to be the only one that tries a request with a quarantined trait. VMs
- * that have the same evidence make equal claims, and only one of them may have its way.
+ * that have the same evidence make equal claims, of which one is acquired.
  *
  * @param trait hash of the trait
  * @param clearances clearances of the trait
--- a/core/src/main/java/org/banyanstile/core/quarantine/TrialLock.java
+++ b/core/src/main/java/org/banyanstile/core/quarantine/TrialLock.java
@@ -56,15 +56,13 @@
 	 */
 	public void release(List<TrialClaim> claims) throws IOException {
 		Map<String, String> held = values(claims);
-		List<TrialRow> current = write(held, Map.of()).current();
-		Map<String, String> released = new TreeMap<>();
-		for (TrialRow row : current) {
-			if (row.claim().equals(held.get(row.key()))) {
-				released.put(row.key(), RELEASED);
-			}
-		}
+		Map<String, String> released = new TreeMap<>(held);
+		released.replaceAll((key, claim) -> RELEASED);
+		List<TrialRow> current = write(released, Map.of()).current();
+		List<TrialRow> ours = current.stream().filter((row) -> row.claim().equals(held.get(row.key()))).toList();
+		released.keySet().retainAll(versions(ours).keySet());
 		if (!released.isEmpty()) {
-			write(released, versions(current));
+			write(released, versions(ours));
 		}
 	}
 
--- a/core/src/test/java/org/banyanstile/core/quarantine/TrialLockTests.java
+++ b/core/src/test/java/org/banyanstile/core/quarantine/TrialLockTests.java
@@ -60,6 +60,12 @@
 		assertThat(this.lock.tryAcquire(List.of(claim(1, 4, 0))), is(false));
 	}
 
+	@Test
+	void aReleaseOfAnUnknownClaimLeavesItFree() throws Exception {
+		this.lock.release(List.of(claim(1, 3, 0)));
+		assertThat(this.lock.tryAcquire(List.of(claim(1, 3, 0))), is(true));
+	}
+
 	@Test
 	void aLostResponseDeniesTheTrialToAllVms() throws Exception {
 		this.rows.setLosesResponses(true);
