Bound the calls to the store in the test of trials and split the fleet

Change: the VM of the fleet has a file of its own; a test plays callers that return together in fleets of 8, 60 and 1,100 VMs and bounds the calls to the store by two for each of the first claimants.

--- a/core/src/test/java/org/banyanstile/core/quarantine/CrashTrialFleet.java
+++ b/core/src/test/java/org/banyanstile/core/quarantine/CrashTrialFleet.java
@@ -9,8 +9,6 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
-import org.banyanstile.core.limit.FleetPosition;
-
 /**
  * A simulated fleet with the quarantines of its VMs, gossip between them, and callers of
  * one request that crashes the endpoints that run it. Refused callers return exactly when
@@ -88,7 +86,7 @@
 		this.random = new Random(seed);
 		this.fault = fault;
 		for (int i = 0; i < size; i++) {
-			SimulatedVm vm = new SimulatedVm(CrashQuarantine.create(), i, this.random.nextInt(size), strideOf(size));
+			SimulatedVm vm = new SimulatedVm(i, this.random.nextInt(size), strideOf(size));
 			this.vms.add(vm);
 			at(this.random.nextInt((int) ROUND_MILLIS), () -> gossip(vm));
 		}
@@ -166,8 +164,8 @@
 
 	private void call(SimulatedVm vm) {
 		Object call = new Object();
-		QuarantineDecision decision = vm.quarantine.decide(call, List.of(REQUEST), vm.position(this.vms.size()),
-				nanos());
+		QuarantineDecision decision = vm.quarantine()
+			.decide(call, List.of(REQUEST), vm.position(this.vms.size()), nanos());
 		if (decision.isRefused()) {
 			refuse(decision.refusedNanos());
 		}
@@ -192,7 +190,7 @@
 			send(vm, call);
 		}
 		else {
-			refuse(vm.quarantine.denied(call, nanos()));
+			refuse(vm.quarantine().denied(call, nanos()));
 		}
 	}
 
@@ -207,14 +205,14 @@
 		boolean crashes = !this.healthy || this.crashes < CrashQuarantine.QUARANTINE_CRASHES;
 		at(this.millis + MIN_RUN_MILLIS + this.random.nextInt(MAX_RUN_MILLIS - MIN_RUN_MILLIS), () -> {
 			if (crashes) {
-				vm.quarantine.crashed(call, List.of(REQUEST), ++this.crashes, nanos());
+				vm.quarantine().crashed(call, List.of(REQUEST), ++this.crashes, nanos());
 			}
 			else {
-				vm.quarantine.answered(List.of(REQUEST), nanos());
+				vm.quarantine().answered(List.of(REQUEST), nanos());
 				this.lastAnswerMillis = this.millis;
 				this.answers++;
 			}
-			vm.quarantine.end(call);
+			vm.quarantine().end(call);
 		});
 	}
 
@@ -223,7 +221,7 @@
 		if (vm.isFrozen(this.millis)) {
 			return;
 		}
-		List<CrashEvidence> reports = vm.quarantine.reports(nanos());
+		List<CrashEvidence> reports = vm.quarantine().reports(nanos());
 		for (int i = 0; i < Math.min(TARGETS_PER_ROUND, this.vms.size()); i++) {
 			SimulatedVm target = this.vms.get(vm.nextTarget(this.vms.size()));
 			boolean lost = vm.isCutOff(this.millis) != target.isCutOff(this.millis)
@@ -270,8 +268,7 @@
 
 			@Override
 			void plan(CrashTrialFleet fleet, SimulatedVm vm) {
-				vm.frozenFrom = 1000;
-				vm.frozenTo = 4100;
+				vm.freeze(1000, 4100);
 			}
 
 		},
@@ -283,8 +280,7 @@
 
 			@Override
 			void plan(CrashTrialFleet fleet, SimulatedVm vm) {
-				vm.cutFrom = 3000;
-				vm.cutTo = CUT_END_MILLIS;
+				vm.cutOff(3000, CUT_END_MILLIS);
 			}
 
 			@Override
@@ -342,76 +338,4 @@
 
 	}
 
-	/**
-	 * A VM of the fleet.
-	 *
-	 * @author banyanstile contributors
-	 */
-	private static final class SimulatedVm {
-
-		private CrashQuarantine quarantine;
-
-		private final int index;
-
-		/**
-		 * Each VM sends to the others in turn, beginning somewhere, in an order of its
-		 * own.
-		 */
-		private int target;
-
-		private final int stride;
-
-		private long frozenFrom = Long.MAX_VALUE;
-
-		private long frozenTo = Long.MAX_VALUE;
-
-		private long cutFrom = Long.MAX_VALUE;
-
-		private long cutTo = Long.MAX_VALUE;
-
-		/**
-		 * A VM serves after it received the fleet's state from another one.
-		 */
-		private boolean informed = true;
-
-		private SimulatedVm(CrashQuarantine quarantine, int index, int target, int stride) {
-			this.quarantine = quarantine;
-			this.index = index;
-			this.target = target;
-			this.stride = stride;
-		}
-
-		private int nextTarget(int size) {
-			this.target = (this.target + this.stride) % size;
-			return this.target;
-		}
-
-		private FleetPosition position(int size) {
-			return (key) -> new FleetPosition.Position(Math.floorMod(key.hashCode() + this.index, size), size);
-		}
-
-		private void restart() {
-			this.quarantine = CrashQuarantine.create();
-			this.informed = false;
-		}
-
-		private boolean isFrozen(long millis) {
-			return millis >= this.frozenFrom && millis < this.frozenTo;
-		}
-
-		private boolean isCutOff(long millis) {
-			return millis >= this.cutFrom && millis < this.cutTo;
-		}
-
-		private boolean isServing(long millis) {
-			return this.informed && !isFrozen(millis);
-		}
-
-		private void receive(List<CrashEvidence> reports, long nanos) {
-			this.quarantine.merge(reports, nanos);
-			this.informed = true;
-		}
-
-	}
-
 }
--- a/core/src/test/java/org/banyanstile/core/quarantine/CrashTrialTests.java
+++ b/core/src/test/java/org/banyanstile/core/quarantine/CrashTrialTests.java
@@ -71,4 +71,17 @@
 		}
 	}
 
+	/**
+	 * Each of the first claimants asks once, with two calls at most.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 8, 60, 1100 })
+	void callersThatReturnTogetherCauseFewCallsToTheStore(int size) {
+		for (int seed = 0; seed < SEEDS; seed++) {
+			CrashTrialFleet fleet = new CrashTrialFleet(size, Fault.NONE, false, seed);
+			fleet.run(SECONDS);
+			assertThat("seed " + seed, fleet.storeWrites(), lessThanOrEqualTo(2 * CrashQuarantine.FIRST_CLAIMANTS));
+		}
+	}
+
 }
