Agree on the interfaces of fleet admission, service rollouts and uneven capacity

Cause: two customers join whose load the system cannot serve well, and an operator's rollout of a service version is not served at all. Several parts are built side by side and need one set of interfaces.

Result: compiles, all modules up to platform. Nothing uses the new types yet.

--- a/core/src/main/java/org/banyanstile/core/catalog/RegisteredEndpoint.java
+++ b/core/src/main/java/org/banyanstile/core/catalog/RegisteredEndpoint.java
@@ -13,9 +13,10 @@
  * @param coldMillis remaining time of its cold start when it wrote the registration
  * @param startMillis time of its start in milliseconds since 1970, 0 if not given; an
  * endpoint can start again with the same id
+ * @param version version of its software, empty if not given
  * @author banyanstile contributors
  */
 public record RegisteredEndpoint(String id, String service, String address, String dataCentre, EndpointRole role,
-		boolean ready, int capacity, long coldMillis, long startMillis) {
+		boolean ready, int capacity, long coldMillis, long startMillis, String version) {
 
 }
--- a/core/src/test/java/org/banyanstile/core/placement/AbsentEnginesTests.java
+++ b/core/src/test/java/org/banyanstile/core/placement/AbsentEnginesTests.java
@@ -21,7 +21,7 @@
 	private final AbsentEngines absent = new AbsentEngines();
 
 	private static RegisteredEndpoint engine(String id, String address, boolean ready) {
-		return new RegisteredEndpoint(id, "llm", address, "dc1", EndpointRole.DECODE, ready, 64, 0, 0);
+		return new RegisteredEndpoint(id, "llm", address, "dc1", EndpointRole.DECODE, ready, 64, 0, 0, "");
 	}
 
 	@Test
--- a/core/src/test/java/org/banyanstile/core/placement/EndpointPickerTests.java
+++ b/core/src/test/java/org/banyanstile/core/placement/EndpointPickerTests.java
@@ -35,7 +35,7 @@
 	}
 
 	private static RegisteredEndpoint endpoint(String id, String dataCentre) {
-		return new RegisteredEndpoint(id, "desk", "10.0.0.1:80", dataCentre, EndpointRole.PLAIN, true, 6, 0, 0);
+		return new RegisteredEndpoint(id, "desk", "10.0.0.1:80", dataCentre, EndpointRole.PLAIN, true, 6, 0, 0, "");
 	}
 
 	private int chosen(RegisteredEndpoint wanted) {
--- a/core/src/test/java/org/banyanstile/core/placement/RoleBalanceTests.java
+++ b/core/src/test/java/org/banyanstile/core/placement/RoleBalanceTests.java
@@ -25,7 +25,7 @@
 		List<RegisteredEndpoint> engines = new ArrayList<>();
 		for (int i = 0; i < prefill + decode; i++) {
 			engines.add(new RegisteredEndpoint("e" + i, "llm", "10.0.0.1:80", "dc" + i % 3,
-					(i < prefill) ? EndpointRole.PREFILL : EndpointRole.DECODE, true, 64, 0, 0));
+					(i < prefill) ? EndpointRole.PREFILL : EndpointRole.DECODE, true, 64, 0, 0, ""));
 		}
 		return engines;
 	}
--- a/core/src/test/java/org/banyanstile/core/placement/RoleChangesTests.java
+++ b/core/src/test/java/org/banyanstile/core/placement/RoleChangesTests.java
@@ -23,7 +23,7 @@
 	private final RoleChanges changes = new RoleChanges();
 
 	private static RegisteredEndpoint engine(EndpointRole role) {
-		return new RegisteredEndpoint("e1", "llm", "10.0.0.1:80", "dc1", role, true, 64, 0, 0);
+		return new RegisteredEndpoint("e1", "llm", "10.0.0.1:80", "dc1", role, true, 64, 0, 0, "");
 	}
 
 	@Test
--- a/core/src/test/java/org/banyanstile/core/placement/SimulatedFleet.java
+++ b/core/src/test/java/org/banyanstile/core/placement/SimulatedFleet.java
@@ -63,7 +63,7 @@
 		for (int i = 0; i < model.engines(); i++) {
 			EndpointRole role = (i < prefillEngines) ? EndpointRole.PREFILL : EndpointRole.DECODE;
 			RegisteredEndpoint engine = new RegisteredEndpoint("e" + i, "llm", "10.0.0.1:80", "dc" + i % 4, role, true,
-					64, 0, 0);
+					64, 0, 0, "");
 			((i < prefillEngines) ? this.prefillEngines : this.decodeEngines).add(engine);
 			this.engines.put(engine.id(), new Engine((i % 3 == 2) ? model.slowFactor() : 1));
 		}
--- a/server/src/main/java/org/banyanstile/server/gossip/Membership.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/Membership.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import org.banyanstile.core.lease.RendezvousHash;
@@ -209,6 +210,32 @@
 		return new FleetPosition.Position(rank, vms);
 	}
 
+	/**
+	 * Returns the VM that does the work of a key for the fleet, by rendezvous hashing
+	 * over the live VMs without those that are shutting down.
+	 * @param key the key
+	 * @param avoided names of VMs that do not respond to this VM
+	 * @param now the current time in nanoseconds
+	 * @return the VM, this one if no other is left
+	 */
+	public synchronized GossipMember preferred(String key, Set<String> avoided, long now) {
+		GossipMember best = this.self;
+		long bestScore = RendezvousHash.score(key, this.self.vm());
+		for (Entry entry : this.entries.values()) {
+			GossipMember member = entry.member();
+			if (now - entry.advancedAt() > deadNanos() || member.state() != MemberState.SERVING.ordinal()
+					|| avoided.contains(member.vm())) {
+				continue;
+			}
+			long score = RendezvousHash.score(key, member.vm());
+			if (Long.compareUnsigned(score, bestScore) > 0) {
+				best = member;
+				bestScore = score;
+			}
+		}
+		return best;
+	}
+
 	/**
 	 * A VM and the time at which its counter last advanced.
 	 *
--- a/server/src/test/java/org/banyanstile/server/view/FleetReaderTests.java
+++ b/server/src/test/java/org/banyanstile/server/view/FleetReaderTests.java
@@ -175,7 +175,7 @@
 		@Override
 		public RegisteredEndpoint decodeEndpoint(String id, byte[] value) {
 			failOn(id);
-			return new RegisteredEndpoint(id, "desk", "127.0.0.1:1", "dc-1", EndpointRole.PLAIN, true, 1, 0, 0);
+			return new RegisteredEndpoint(id, "desk", "127.0.0.1:1", "dc-1", EndpointRole.PLAIN, true, 1, 0, 0, "");
 		}
 
 	}
--- a/server/src/test/java/org/banyanstile/server/view/FleetViewTests.java
+++ b/server/src/test/java/org/banyanstile/server/view/FleetViewTests.java
@@ -202,7 +202,7 @@
 				throw new MalformedRowException("unknown state " + text, null);
 			}
 			boolean ready = text.equals("ready");
-			return new RegisteredEndpoint(id, "desk", "10.0.0.1:80", "dc1", EndpointRole.PLAIN, ready, 6, 0, 0);
+			return new RegisteredEndpoint(id, "desk", "10.0.0.1:80", "dc1", EndpointRole.PLAIN, ready, 6, 0, 0, "");
 		}
 
 	}
