Explain where a request would go now without sending it

Cause: operators cannot see why a request goes to an endpoint, waits or is refused, other than by sending it and reading the logs of its VM.

Change: GET /explain at the metrics address of a VM, and the command explain of the operator binary. CandidateRanking ranks the endpoints with the EndpointPicker that places requests, without its noise. SharedQuota.waitNanos tells the wait for tokens without taking them; take uses it. RouterServer leaves the responses to operators to OperatorPages.

Result: CandidateRankingTests, ExplainTests (a generation, four refusals, a malformed query; no endpoint gets a request), BanyanstileTests and the quota tests of core pass.

--- a/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
+++ b/core/src/main/java/org/banyanstile/core/limit/SharedQuota.java
@@ -94,16 +94,30 @@
 	 * enough
 	 */
 	public long take(long tokens, long now) {
-		refill(now);
-		double needed = Math.min(tokens, this.capacity) - overdraft(tokens);
-		if (this.level + 1e-6 < needed) {
-			return Math.max(1, (long) ((needed - this.level) / Math.max(1, this.rate) * NANOS));
+		long wait = waitNanos(tokens, now);
+		if (wait > 0) {
+			return wait;
 		}
 		this.level -= tokens;
 		this.used += tokens;
 		return 0;
 	}
 
+	/**
+	 * Returns how long a request would have to wait for tokens, without taking them.
+	 * @param tokens the tokens
+	 * @param now the current time in nanoseconds
+	 * @return 0 if there are enough, else the time in nanoseconds until there may be
+	 */
+	public long waitNanos(long tokens, long now) {
+		refill(now);
+		double needed = Math.min(tokens, this.capacity) - overdraft(tokens);
+		if (this.level + 1e-6 >= needed) {
+			return 0;
+		}
+		return Math.max(1, (long) ((needed - this.level) / Math.max(1, this.rate) * NANOS));
+	}
+
 	// Small requests must not be refused for as long as the refill after a large one
 	// takes.
 	private double overdraft(long tokens) {
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -153,7 +153,8 @@
 		RequestIntake intake = new RequestIntake(services, quotas, shutdown);
 		RouterServer server = new RouterServer(services, intake, platform.directory(),
 				() -> callerAddresses(membership, shutdown, ticker), shutdown);
-		server.start(addresses, registry::scrape);
+		server.start(addresses,
+				new OperatorPages(registry::scrape, new RequestExplainer(services, quotas, shutdown, settings.vm())));
 		GossipNode gossip = GossipNode.start(peerAddress, membership, view, localState, ticker, log);
 		gossip.setSeeds(seeds);
 		FleetReader reader = FleetReader.create(platform.source(), view, () -> membership.rank(ticker.nanos()), log);
--- a/server/src/main/java/org/banyanstile/server/router/RouterServer.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServer.java
@@ -99,14 +99,14 @@
 	 * Binds all addresses. Binding is retried while an earlier process of this VM still
 	 * uses them.
 	 * @param addresses addresses to listen at
-	 * @param metrics source of the metrics
+	 * @param operatorPages responses to operators
 	 */
-	void start(RouterAddresses addresses, Supplier<String> metrics) {
+	void start(RouterAddresses addresses, OperatorPages operatorPages) {
 		XnioWorker created = createWorker();
 		this.worker = created;
 		long deadline = System.nanoTime() + BIND_TIMEOUT_NANOS;
 		while (this.server == null) {
-			Undertow built = build(addresses, metrics, created);
+			Undertow built = build(addresses, operatorPages, created);
 			try {
 				built.start();
 				this.server = built;
@@ -141,7 +141,7 @@
 		}
 	}
 
-	private Undertow build(RouterAddresses addresses, Supplier<String> metrics, XnioWorker threads) {
+	private Undertow build(RouterAddresses addresses, OperatorPages operatorPages, XnioWorker threads) {
 		Undertow.Builder builder = Undertow.builder()
 			.setWorker(threads)
 			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
@@ -156,7 +156,7 @@
 		listen(builder, addresses.readiness(), this::readiness);
 		listen(builder, addresses.directory(), this::directory);
 		if (addresses.metrics() != null) {
-			listen(builder, addresses.metrics(), (exchange) -> text(exchange, metrics.get()));
+			listen(builder, addresses.metrics(), operatorPages);
 		}
 		return builder.build();
 	}
@@ -203,11 +203,6 @@
 			.send(ByteBuffer.wrap(this.directory.directoryResponse(this.callerAddresses.get(), DIRECTORY_TTL)));
 	}
 
-	private static void text(HttpServerExchange exchange, String body) {
-		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
-		exchange.getResponseSender().send(body);
-	}
-
 	private static void shutDown(XnioWorker threads) {
 		threads.shutdown();
 		boolean ended = false;
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -275,6 +275,16 @@
 		return allowed;
 	}
 
+	/**
+	 * Returns the request limit that an endpoint has named.
+	 * @param endpoint id of the endpoint
+	 * @return the requests a second from all VMs, {@link EndpointLimits#UNLIMITED} if it
+	 * has none
+	 */
+	double requestLimit(String endpoint) {
+		return this.limits.perSecond(endpoint, System.nanoTime());
+	}
+
 	private boolean tryAcquireColdRate(RegisteredEndpoint endpoint) {
 		var catalog = this.view.snapshot().catalog();
 		ServedService service = (catalog != null) ? catalog.service(endpoint.service()) : null;
--- a/server/src/main/java/org/banyanstile/server/router/TeamQuotas.java
+++ b/server/src/main/java/org/banyanstile/server/router/TeamQuotas.java
@@ -66,6 +66,16 @@
 		return quota(team).take(tokens, this.ticker.nanos());
 	}
 
+	/**
+	 * Returns how long a request would have to wait for tokens, without taking them.
+	 * @param team the team
+	 * @param tokens the tokens
+	 * @return 0 if there are enough, else the time in nanoseconds until there may be
+	 */
+	synchronized long waitNanos(TeamPolicy team, long tokens) {
+		return team.isLimited() ? quota(team).waitNanos(tokens, this.ticker.nanos()) : 0;
+	}
+
 	/**
 	 * Refunds the tokens of a request that did not run.
 	 * @param team the team
--- a/tools/src/main/java/org/banyanstile/tools/Banyanstile.java
+++ b/tools/src/main/java/org/banyanstile/tools/Banyanstile.java
@@ -34,6 +34,7 @@
 		this.root.addCommand("status", new StatusCommand());
 		this.root.addCommand("burn", new BurnCommand());
 		this.root.addCommand("trace", new TraceCommand());
+		this.root.addCommand("explain", new ExplainCommand());
 	}
 
 	/**
