Share the rate of a cold endpoint among as many VMs as its bursts allow

Cause: each VM decides alone with a burst of one request, so the sum of the bursts grows with the fleet.

Change: the VMs that come first in the rendezvous order of the endpoint share its rate, at most half as many as it takes requests a second; the others leave it alone until it is warm. The order is taken over the registered VMs, as the number of shares was, so that two sides of a network partition do not both use the whole rate.

--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -17,6 +17,7 @@
 import org.banyanstile.core.common.Ticker;
 import org.banyanstile.core.limit.BodyBudget;
 import org.banyanstile.core.limit.EndpointLimits;
+import org.banyanstile.core.limit.FleetPosition;
 import org.banyanstile.core.limit.LimitReport;
 import org.banyanstile.core.placement.EndpointHealth;
 import org.banyanstile.core.placement.EndpointLoads;
@@ -148,8 +149,8 @@
 				platform.engines(), loads, health, EndpointPicker.create(loads, health, new Random()),
 				new EndpointClient(platform.client(), platform.requests(), health, limits, log), limits,
 				(key) -> membership.position(key, ticker.nanos()), quarantine,
-				TrialLock.of((rows) -> writeTrials(platform.source(), rows)), () -> registration.others().size() + 1,
-				bodies, log, registry);
+				TrialLock.of((rows) -> writeTrials(platform.source(), rows)),
+				(key) -> FleetPosition.among(key, settings.vm(), registration.others()), bodies, log, registry);
 		RequestIntake intake = new RequestIntake(services, quotas, shutdown);
 		RouterServer server = new RouterServer(services, intake, platform.directory(),
 				() -> callerAddresses(membership, shutdown, ticker), shutdown);
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.IntSupplier;
 
 import io.micrometer.core.instrument.MeterRegistry;
 import org.banyanstile.core.catalog.EndpointRole;
@@ -68,7 +67,7 @@
 
 	private final TrialLock trialLock;
 
-	private final IntSupplier vmCount;
+	private final FleetPosition registeredPosition;
 
 	private final BodyBudget bodies;
 
@@ -87,7 +86,8 @@
 	RouterServices(RouterSettings settings, FleetView view, RoleChanges roleChanges, RequestProtocol protocol,
 			EngineCalls engineCalls, EndpointLoads loads, EndpointHealth health, EndpointPicker picker,
 			EndpointClient client, EndpointLimits limits, FleetPosition position, CrashQuarantine quarantine,
-			TrialLock trialLock, IntSupplier vmCount, BodyBudget bodies, DecisionLog log, MeterRegistry registry) {
+			TrialLock trialLock, FleetPosition registeredPosition, BodyBudget bodies, DecisionLog log,
+			MeterRegistry registry) {
 		this.settings = settings;
 		this.view = view;
 		this.roleChanges = roleChanges;
@@ -101,7 +101,7 @@
 		this.position = position;
 		this.quarantine = quarantine;
 		this.trialLock = trialLock;
-		this.vmCount = vmCount;
+		this.registeredPosition = registeredPosition;
 		this.bodies = bodies;
 		this.log = log;
 		this.metrics = new RouterMetrics(registry);
@@ -247,7 +247,7 @@
 		boolean allowed;
 		synchronized (this.retryShares) {
 			allowed = retryShare(service).tryRetry(this.settings.retryRatio(), this.settings.retryExtra(),
-					this.vmCount.getAsInt(), System.nanoTime());
+					this.registeredPosition.of(service).vms(), System.nanoTime());
 		}
 		this.metrics.retry(allowed);
 		return allowed;
@@ -297,7 +297,7 @@
 			}
 			long now = System.nanoTime();
 			return this.coldRates.computeIfAbsent(endpoint.id(), (id) -> ColdRate.create(now))
-				.tryTake(service.coldPerSecond(), this.vmCount.getAsInt(), now);
+				.tryTake(service.coldPerSecond(), this.registeredPosition.of(endpoint.id()), now);
 		}
 	}
 
