Let one VM place the generations of the fleet

With 60 VMs the admission queue of a VM holds one request in four cases out of five, so its order decides nothing.

SchedulerNode exchanges datagrams at the second peer port: place, placed, queued, refused, progress, holdings and status. SchedulerClient asks the VM that rendezvous hashing prefers for a group of at most 64 engines, avoids one that is silent and falls back to the VM's own admission queue after 200 ms.

--- a/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.EngineTraits;
@@ -10,6 +12,10 @@
 import org.banyanstile.core.placement.AdmissionQueue;
 import org.banyanstile.core.placement.MemoryHeadroom;
 import org.banyanstile.io.http.HttpException;
+import org.banyanstile.server.scheduling.PlacementAnswer;
+import org.banyanstile.server.scheduling.PlacementDemand;
+import org.banyanstile.server.scheduling.SchedulerClient;
+import org.banyanstile.server.scheduling.SchedulerTicket;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -48,6 +54,10 @@
 
 	private static final int BLOCK_TOKENS = 16;
 
+	private static final double MILLIS_PER_SECOND = 1000;
+
+	private static final String NO_MEMORY = "no engine has enough free memory for the request";
+
 	private final RouterServices services;
 
 	private final RouterCall call;
@@ -64,7 +74,8 @@
 	}
 
 	/**
-	 * Waits in the admission queue for a reservation.
+	 * Waits for a reservation: at the engine that the fleet's scheduler chooses, or in
+	 * the admission queue of this VM if there is no scheduler or none answers.
 	 * @return the reservation
 	 * @throws RejectionException if no engine has memory in time
 	 */
@@ -72,6 +83,100 @@
 		if (this.tokens > this.traits.memoryTokens()) {
 			throw RejectionException.notRun("the request needs more memory than an engine has", 0);
 		}
+		SchedulerClient scheduler = this.services.scheduler();
+		if (scheduler == null) {
+			return awaitLocalReservation();
+		}
+		DecodeReservation reservation = awaitScheduledReservation(scheduler);
+		return (reservation != null) ? reservation : held(scheduler, awaitLocalReservation());
+	}
+
+	// Returns the reservation, or {@code null} if no scheduler answers.
+	private @Nullable DecodeReservation awaitScheduledReservation(SchedulerClient scheduler) throws RejectionException {
+		SchedulerTicket ticket = scheduler.open(demand());
+		if (ticket == null) {
+			return null;
+		}
+		DecodeReservation reservation = null;
+		try {
+			while (true) {
+				PlacementAnswer answer = ticket.await(this.call::isCancelledOrTimedOut);
+				if (answer instanceof PlacementAnswer.Placed placed) {
+					reservation = tryReserve(placed, ticket);
+					if (reservation != null) {
+						return reservation;
+					}
+					ticket.engineRefused(placed.engine());
+					this.services.log()
+						.request("placement refused by engine", this.call.id(), "engine", placed.engine(), "ageMillis",
+								this.call.ageMillis());
+				}
+				else if (answer instanceof PlacementAnswer.Refused refused) {
+					throw RejectionException.notRun(NO_MEMORY, refused.retryAfterMillis() / MILLIS_PER_SECOND);
+				}
+				else if (answer instanceof PlacementAnswer.Unanswered) {
+					this.services.log()
+						.request("no scheduler answers", this.call.id(), "ageMillis", this.call.ageMillis());
+					return null;
+				}
+				else if (this.call.isCancelledForExit()) {
+					throw RejectionException.shuttingDown();
+				}
+				else {
+					throw RejectionException.notRun(NO_MEMORY, 1);
+				}
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw RejectionException.shuttingDown();
+		}
+		finally {
+			if (reservation == null) {
+				ticket.close(0);
+			}
+		}
+	}
+
+	private @Nullable DecodeReservation tryReserve(PlacementAnswer.Placed placed, SchedulerTicket ticket) {
+		RegisteredEndpoint engine = this.services.engines(this.call.service(), EndpointRole.DECODE)
+			.stream()
+			.filter((candidate) -> candidate.id().equals(placed.engine()))
+			.findFirst()
+			.orElse(null);
+		if (engine == null || !this.services.tryAcquireRate(engine)) {
+			return null;
+		}
+		String id = reserve(engine);
+		if (id == null) {
+			return null;
+		}
+		this.services.log()
+			.request("place", this.call.id(), "engine", engine.id(), "tokens", this.tokens, "prefillEngine",
+					placed.prefillEngine(), "ageMillis", this.call.ageMillis());
+		return new DecodeReservation(engine, id, this.tokens, ticket, true);
+	}
+
+	private DecodeReservation held(SchedulerClient scheduler, DecodeReservation reservation) {
+		return new DecodeReservation(reservation.engine(), reservation.id(), reservation.tokens(),
+				scheduler.hold(demand(), reservation.engine()), false);
+	}
+
+	private PlacementDemand demand() {
+		long now = System.nanoTime();
+		Set<String> unusable = this.services.engines(this.call.service(), EndpointRole.DECODE)
+			.stream()
+			.map(RegisteredEndpoint::id)
+			.filter((engine) -> !this.services.health().isUsable(engine, now))
+			.collect(Collectors.toSet());
+		long onTimeMillis = this.call.isCallerRetry() ? -1
+				: this.call.route().objectiveMillis() - TYPICAL_FIRST_EVENT_MILLIS - this.call.ageMillis();
+		return new PlacementDemand(this.call.service(), this.call.priority(),
+				Math.max(0, this.call.fields().promptTokens()), this.tokens, onTimeMillis, this.call.remainingMillis(),
+				this.call.route().maxPauseMillis(), unusable);
+	}
+
+	private DecodeReservation awaitLocalReservation() throws RejectionException {
 		AdmissionQueue queue = this.services.admissionQueue(this.call.service());
 		long latestOnTimeMillis = this.call.route().objectiveMillis() - TYPICAL_FIRST_EVENT_MILLIS;
 		boolean late = this.call.ageMillis() > latestOnTimeMillis || this.call.isCallerRetry();
@@ -89,8 +194,7 @@
 					throw RejectionException.shuttingDown();
 				}
 				if (this.call.isCancelledOrTimedOut() || this.call.ageMillis() > maxAgeMillis) {
-					throw RejectionException.notRun("no engine has enough free memory for the request",
-							retryAfterSeconds(queue));
+					throw RejectionException.notRun(NO_MEMORY, retryAfterSeconds(queue));
 				}
 				if (!ticket.late() && this.call.ageMillis() > latestOnTimeMillis) {
 					ticket = queue.markLate(ticket);
@@ -115,7 +219,9 @@
 	 */
 	@Nullable
 	DecodeReservation tryReserveElsewhere(RegisteredEndpoint engine) {
-		return tryReserve((other) -> !other.id().equals(engine.id()), false);
+		DecodeReservation reservation = tryReserve((other) -> !other.id().equals(engine.id()), false);
+		SchedulerClient scheduler = this.services.scheduler();
+		return (reservation != null && scheduler != null) ? held(scheduler, reservation) : reservation;
 	}
 
 	// Spreads the retries of callers over the time in which the engines can work off the
@@ -154,7 +260,7 @@
 					.request("place", this.call.id(), "engine", engine.id(), "tokens", this.tokens, "usedTokens", used,
 							"asked", asked, "waiting", this.services.admissionQueue(this.call.service()).length(),
 							"ageMillis", this.call.ageMillis());
-				return new DecodeReservation(engine, id, this.tokens);
+				return new DecodeReservation(engine, id, this.tokens, null, false);
 			}
 		}
 		return null;
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -104,7 +104,9 @@
 	/**
 	 * Decode engine that is prefilling the prompt itself.
 	 */
-	private @Nullable RegisteredEndpoint prefillingDecodeEngine;
+	private @Nullable DecodeReservation prefillingReservation;
+
+	private long prefillBeganMillis;
 
 	/**
 	 * Reservation at the engine that the stream fails over to.
@@ -193,6 +195,7 @@
 			}
 			finally {
 				this.services.loads().end(reservation.engine().id(), reservation.tokens());
+				reservation.end(this.timing.millisSinceFirstEvent(this.call.ageMillis()));
 				this.services.admissionQueue(this.call.service()).memoryFreed();
 			}
 		}
@@ -314,7 +317,7 @@
 		Duration responseTimeout = Duration.ofMillis(Math.max(1, this.call.remainingMillis()));
 		int earlierEvents = this.splitter.eventCount();
 		this.attempts.beginAttempt(engine);
-		beginPrefillAtDecodeEngine(engine, offered == null);
+		beginPrefillAtDecodeEngine(reservation, offered == null);
 		try (HttpResponse response = this.services.client()
 			.send(this.call, engine, fields, MAX_POOLED_IDLE, responseTimeout)) {
 			this.attempts.recordRun();
@@ -373,7 +376,7 @@
 		long progressAt = this.call.ageMillis();
 		ByteBuffer bytes = next(response, engine);
 		while (bytes != null) {
-			boolean forwarded = forwardEvents(bytes);
+			boolean forwarded = forwardEvents(bytes, engine);
 			if (this.splitter.isOutOfSequence()) {
 				throw new StreamMismatchException(
 						engine.id() + " sent an event that does not follow event " + this.splitter.lastEventId());
@@ -411,7 +414,7 @@
 
 	// Forwards the events that the bytes complete.
 	// @return whether there was one
-	private boolean forwardEvents(ByteBuffer bytes) throws IOException {
+	private boolean forwardEvents(ByteBuffer bytes, RegisteredEndpoint engine) throws IOException {
 		int earlierEvents = this.splitter.eventCount();
 		ByteBuffer completeEvents = this.splitter.append(bytes);
 		if (!completeEvents.hasRemaining()) {
@@ -421,24 +424,28 @@
 			this.crashGuard.answered();
 			this.services.metrics().firstEvent(this.call.route().kind().name(), this.call.ageMillis());
 		}
+		if (this.prefillingReservation != null) {
+			this.prefillingReservation.prefilled(engine.id(), this.call.ageMillis() - this.prefillBeganMillis);
+		}
 		endPrefillAtDecodeEngine();
 		this.timing.eventsArrived(this.splitter.eventCount() - earlierEvents, this.call.ageMillis());
 		this.call.response().write(completeEvents);
 		return true;
 	}
 
-	private void beginPrefillAtDecodeEngine(RegisteredEndpoint engine, boolean prefills) {
+	private void beginPrefillAtDecodeEngine(DecodeReservation reservation, boolean prefills) {
 		if (prefills) {
-			this.prefillingDecodeEngine = engine;
-			this.services.loads().beginPrefill(engine.id(), this.call.fields().promptTokens());
+			this.prefillingReservation = reservation;
+			this.prefillBeganMillis = this.call.ageMillis();
+			this.services.loads().beginPrefill(reservation.engine().id(), this.call.fields().promptTokens());
 		}
 	}
 
 	private void endPrefillAtDecodeEngine() {
-		RegisteredEndpoint engine = this.prefillingDecodeEngine;
-		if (engine != null) {
-			this.prefillingDecodeEngine = null;
-			this.services.loads().endPrefill(engine.id(), this.call.fields().promptTokens());
+		DecodeReservation reservation = this.prefillingReservation;
+		if (reservation != null) {
+			this.prefillingReservation = null;
+			this.services.loads().endPrefill(reservation.engine().id(), this.call.fields().promptTokens());
 		}
 	}
 
@@ -491,6 +498,7 @@
 	}
 
 	private void releaseReservation(DecodeReservation reservation) {
+		reservation.end(0);
 		try {
 			this.services.engineCalls().releaseReservation(reservation.engine(), reservation.id());
 		}
--- a/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
+++ b/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
@@ -64,11 +64,17 @@
 		for (int i = 0; i < MAX_PREFILL_ATTEMPTS && !this.call.isCancelledOrTimedOut()
 				&& !this.crashGuard.isRefused(); i++) {
 			List<RegisteredEndpoint> engines = this.services.engines(this.call.service(), EndpointRole.PREFILL);
-			RegisteredEndpoint engine = this.services.picker()
-				.leastTokens(engines, tried, reservation.engine().dataCentre(), System.nanoTime());
-			if (engine == null || !usesPrefillEngine(engine, reservation.engine())) {
+			RegisteredEndpoint engine = scheduledEngine(engines, tried, reservation);
+			if (engine == null && reservation.isPrefillAtDecodeEngine()) {
 				return null;
 			}
+			if (engine == null) {
+				engine = this.services.picker()
+					.leastTokens(engines, tried, reservation.engine().dataCentre(), System.nanoTime());
+				if (engine == null || !usesPrefillEngine(engine, reservation.engine())) {
+					return null;
+				}
+			}
 			tried.add(engine.id());
 			if (!this.services.tryAcquireRate(engine)) {
 				continue;
@@ -78,7 +84,7 @@
 			}
 			resends.begin(engine.id());
 			try {
-				return prefill(engine);
+				return prefill(engine, reservation);
 			}
 			catch (NotRunException ex) {
 				resends.end(engine.id(), ex.proof());
@@ -118,7 +124,16 @@
 				this.services.prefillSpeeds().tokensPerMilli(prefillEngine.id()), decode);
 	}
 
-	private PrefilledPrompt prefill(RegisteredEndpoint engine)
+	private static @Nullable RegisteredEndpoint scheduledEngine(List<RegisteredEndpoint> engines, Set<String> tried,
+			DecodeReservation reservation) {
+		String id = reservation.prefillEngine();
+		return engines.stream()
+			.filter((engine) -> engine.id().equals(id) && !tried.contains(engine.id()))
+			.findFirst()
+			.orElse(null);
+	}
+
+	private PrefilledPrompt prefill(RegisteredEndpoint engine, DecodeReservation reservation)
 			throws NotRunException, UnknownOutcomeException, HttpException {
 		long tokens = Math.max(1, this.call.fields().promptTokens());
 		long startNanos = System.nanoTime();
@@ -140,6 +155,7 @@
 						engine.id() + " responded to a prefill request with " + response.status());
 			}
 			this.services.prefillSpeeds().prefilled(engine.id(), tokens, millis);
+			reservation.prefilled(engine.id(), millis);
 			this.attempts.log(engine, "prefilled", "in " + millis + " ms");
 			return new PrefilledPrompt(engine, handle, this.services.engineCalls().cacheSource(engine, handle),
 					System.nanoTime());
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.banyanstile.core.catalog.Catalog;
@@ -39,11 +40,14 @@
 import org.banyanstile.server.gossip.MemberState;
 import org.banyanstile.server.gossip.Membership;
 import org.banyanstile.server.gossip.VmRegistration;
+import org.banyanstile.server.scheduling.FifoScheduler;
+import org.banyanstile.server.scheduling.SchedulerNode;
 import org.banyanstile.server.view.FleetReader;
 import org.banyanstile.server.view.FleetView;
 import org.banyanstile.server.view.RowDecoder;
 import org.banyanstile.server.view.TableSource;
 import org.banyanstile.server.view.TableSourceException;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Router process of a VM whose endpoints register themselves with the platform: copy of
@@ -73,6 +77,8 @@
 
 	private final GossipNode gossip;
 
+	private final @Nullable SchedulerNode scheduler;
+
 	private final RequestIntake intake;
 
 	private final RouterServer server;
@@ -82,8 +88,8 @@
 	private final HttpClient client;
 
 	private Router(RouterServices services, TeamQuotas quotas, GracefulShutdown shutdown, DecisionLog log,
-			FleetReader reader, VmRegistration registration, GossipNode gossip, RequestIntake intake,
-			RouterServer server, RoleController roleController, HttpClient client) {
+			FleetReader reader, VmRegistration registration, GossipNode gossip, @Nullable SchedulerNode scheduler,
+			RequestIntake intake, RouterServer server, RoleController roleController, HttpClient client) {
 		this.services = services;
 		this.quotas = quotas;
 		this.shutdown = shutdown;
@@ -91,6 +97,7 @@
 		this.reader = reader;
 		this.registration = registration;
 		this.gossip = gossip;
+		this.scheduler = scheduler;
 		this.intake = intake;
 		this.server = server;
 		this.roleController = roleController;
@@ -150,6 +157,7 @@
 				(key) -> membership.position(key, ticker.nanos()), quarantine,
 				TrialLock.of((rows) -> writeTrials(platform.source(), rows)), () -> registration.others().size() + 1,
 				bodies, log, registry);
+		SchedulerNode scheduler = startScheduler(settings, addresses, membership, services, ticker, registry, log);
 		RequestIntake intake = new RequestIntake(services, quotas, shutdown);
 		RouterServer server = new RouterServer(services, intake, platform.directory(),
 				() -> callerAddresses(membership, shutdown, ticker), shutdown);
@@ -167,8 +175,21 @@
 				loads, roleChanges, () -> membership.rank(ticker.nanos()) == 0 && !shutdown.hasBegun(), log);
 		roleController.start();
 		log.lifecycle("started", "vm", settings.vm(), "callers", text(addresses.callers()));
-		return new Router(services, quotas, shutdown, log, reader, registration, gossip, intake, server, roleController,
-				platform.client());
+		return new Router(services, quotas, shutdown, log, reader, registration, gossip, scheduler, intake, server,
+				roleController, platform.client());
+	}
+
+	private static @Nullable SchedulerNode startScheduler(RouterSettings settings, RouterAddresses addresses,
+			Membership membership, RouterServices services, Ticker ticker, MeterRegistry registry, DecisionLog log)
+			throws IOException {
+		InetSocketAddress address = addresses.scheduler();
+		if (!settings.fleetAdmission() || address == null) {
+			return null;
+		}
+		SchedulerNode scheduler = SchedulerNode.start(address, membership, new FleetEngines(services),
+				FifoScheduler::new, ticker, registry, log);
+		services.useScheduler(scheduler.client());
+		return scheduler;
 	}
 
 	private static TrialWrite writeTrials(TableSource source, List<TrialRow> rows) throws IOException {
@@ -234,6 +255,9 @@
 		this.registration.close();
 		this.server.close();
 		this.gossip.close();
+		if (this.scheduler != null) {
+			this.scheduler.close();
+		}
 		this.client.close();
 	}
 
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -23,8 +23,10 @@
 import org.banyanstile.core.placement.RoleChanges;
 import org.banyanstile.core.quarantine.CrashQuarantine;
 import org.banyanstile.core.quarantine.TrialLock;
+import org.banyanstile.server.scheduling.SchedulerClient;
 import org.banyanstile.server.view.FleetTable;
 import org.banyanstile.server.view.FleetView;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Components that all requests on a VM share. Lock order: cold rates, retry shares;
@@ -78,6 +80,8 @@
 
 	private final FirstRequests firstRequests;
 
+	private volatile @Nullable SchedulerClient scheduler;
+
 	private final Map<String, AdmissionQueue> admissionQueues = new ConcurrentHashMap<>();
 
 	private final Map<String, RetryShare> retryShares = new HashMap<>();
@@ -162,6 +166,23 @@
 		return this.view.snapshot().isUsable(engine) && !this.roleChanges.isChanging(engine, System.nanoTime());
 	}
 
+	/**
+	 * Sets the client of the fleet's scheduler. Called before the first request.
+	 * @param client the client
+	 */
+	void useScheduler(SchedulerClient client) {
+		this.scheduler = client;
+	}
+
+	/**
+	 * Returns the client of the fleet's scheduler.
+	 * @return the client, or {@code null} if each VM places its own generations
+	 */
+	@Nullable
+	SchedulerClient scheduler() {
+		return this.scheduler;
+	}
+
 	RequestProtocol protocol() {
 		return this.protocol;
 	}
--- a/server/src/main/java/org/banyanstile/server/router/StreamTiming.java
+++ b/server/src/main/java/org/banyanstile/server/router/StreamTiming.java
@@ -46,6 +46,15 @@
 		return this.firstEventMillis;
 	}
 
+	/**
+	 * Returns the time since the first event.
+	 * @param ageMillis time from the arrival of the request
+	 * @return the time in milliseconds, 0 before the first event
+	 */
+	long millisSinceFirstEvent(long ageMillis) {
+		return (this.events > 0) ? ageMillis - this.firstEventMillis : 0;
+	}
+
 	/**
 	 * Returns the longest pause between two events.
 	 * @return milliseconds, 0 before the second event
