Add a scheduler that delays or refuses what costs callers least

The admission queue of a VM holds one request in four cases out of five, so its order decides nothing and large and urgent requests lose to small ones.

LeastCostScheduler implements GenerationScheduler: order by rank and time left, a memory ledger repaired by holdings, learned durations, earmarks with backfill, choice of the prefill engine by expected end, refusal at arrival.

--- /dev/null
+++ b/core/src/main/java/org/banyanstile/core/scheduling/LeastCostScheduler.java
@@ -0,0 +1,249 @@
+package org.banyanstile.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.banyanstile.core.catalog.RegisteredEndpoint;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Scheduler that delays or refuses what costs callers least, by rank, deadline and size.
+ * For loads above the memory of the engines. See {@code docs/design/least-cost.md}.
+ * <p>
+ * The id of a request must not be used again for two seconds after its end.
+ *
+ * @author banyanstile contributors
+ */
+public final class LeastCostScheduler implements GenerationScheduler {
+
+	/**
+	 * Time after the start in which VMs report their holdings.
+	 */
+	static final long START_NANOS = 300_000_000;
+
+	/**
+	 * Time after which the requests of a VM are dropped that sends no messages.
+	 */
+	static final long SILENT_NANOS = 3_000_000_000L;
+
+	private final PrefillQueues prefills = new PrefillQueues();
+
+	private final StreamTimes times = new StreamTimes();
+
+	private final PlacementLedger ledger = new PlacementLedger(this.prefills, this.times);
+
+	private final QueueOrder order = new QueueOrder();
+
+	private final Refusals refusals = new Refusals();
+
+	private final Map<String, WaitingRequest> waiting = new LinkedHashMap<>();
+
+	private final Map<String, Long> vmSeenAt = new HashMap<>();
+
+	private final List<SchedulingDecision> repeated = new ArrayList<>();
+
+	private final long startedAt;
+
+	private List<String> engineIds = List.of();
+
+	private long nextNumber;
+
+	private long placed;
+
+	private long waited;
+
+	private long backfilled;
+
+	private int earmarks;
+
+	private long engineRefusals;
+
+	private LeastCostScheduler(long now) {
+		this.startedAt = now;
+	}
+
+	/**
+	 * Creates a scheduler that knows no engines and no placements.
+	 * @param now the current time in nanoseconds
+	 * @return the scheduler
+	 */
+	public static LeastCostScheduler create(long now) {
+		return new LeastCostScheduler(now);
+	}
+
+	@Override
+	public void setEngines(Collection<RegisteredEndpoint> engines, long memoryTokens, long now) {
+		this.ledger.setEngines(engines, memoryTokens);
+		this.engineIds = engines.stream().map(RegisteredEndpoint::id).sorted().toList();
+	}
+
+	@Override
+	public void add(GenerationRequest request, long now) {
+		this.vmSeenAt.put(request.vm(), now);
+		SchedulingRefusal refusal = this.refusals.recent(request.id());
+		if (refusal != null) {
+			this.repeated.add(refusal);
+			return;
+		}
+		if (this.ledger.hasEnded(request.id())) {
+			return;
+		}
+		Placed known = this.ledger.find(request.id());
+		if (known != null && isValid(known.decision(), request)) {
+			this.repeated.add(known.decision());
+			return;
+		}
+		if (known != null) {
+			this.ledger.remove(known, now);
+		}
+		WaitingRequest renewed = this.waiting.get(request.id());
+		if (renewed != null) {
+			renewed.renew(request, now);
+			return;
+		}
+		this.order.observe(request.tokens());
+		this.waiting.put(request.id(), new WaitingRequest(request, this.nextNumber++, now));
+	}
+
+	private static boolean isValid(EnginePlacement placement, GenerationRequest request) {
+		String prefillEngine = placement.prefillEngine();
+		return !request.excludedEngines().contains(placement.engine())
+				&& (prefillEngine == null || !request.excludedEngines().contains(prefillEngine));
+	}
+
+	@Override
+	public void prefilled(String requestId, String engine, long promptTokens, long millis, long now) {
+		this.ledger.prefilled(requestId, engine, promptTokens, millis, now);
+	}
+
+	@Override
+	public void ended(String requestId, long streamMillis, long now) {
+		this.waiting.remove(requestId);
+		this.ledger.ended(requestId, streamMillis, now);
+	}
+
+	@Override
+	public void refusedByEngine(String requestId, String engine, long now) {
+		this.engineRefusals++;
+		this.ledger.refused(requestId, engine, now);
+	}
+
+	@Override
+	public void setHoldings(String vm, Collection<Holding> holdings, long now) {
+		this.vmSeenAt.put(vm, now);
+		this.ledger.setHoldings(vm, holdings, now);
+		holdings.forEach((holding) -> this.waiting.remove(holding.requestId()));
+	}
+
+	@Override
+	public List<SchedulingDecision> decide(long now) {
+		this.ledger.expire(now);
+		this.refusals.expire(now);
+		this.vmSeenAt.values().removeIf((seenAt) -> now - seenAt > SILENT_NANOS);
+		this.waiting.values().removeIf((request) -> !this.vmSeenAt.containsKey(request.request().vm()));
+		List<SchedulingDecision> decisions = new ArrayList<>(this.repeated);
+		this.repeated.clear();
+		if (now - this.startedAt >= START_NANOS && !this.waiting.isEmpty()) {
+			decideWaiting(decisions, now);
+		}
+		else {
+			this.earmarks = 0;
+		}
+		return decisions;
+	}
+
+	private void decideWaiting(List<SchedulingDecision> decisions, long now) {
+		DecodeChoice engines = new DecodeChoice(this.ledger.decodeEngines(), this.prefills, this.times, now);
+		Backlog backlog = Backlog.of(this.ledger, this.prefills, this.times, now);
+		for (WaitingRequest request : this.order.sort(this.waiting.values(), this.times.overheadMillis(),
+				this.prefills.meanTokensPerMilli(), now)) {
+			SchedulingDecision decision = decide(request, engines, backlog, now);
+			if (decision != null) {
+				this.waiting.remove(decision.requestId());
+				decisions.add(decision);
+			}
+		}
+		this.earmarks = engines.earmarks();
+	}
+
+	private @Nullable SchedulingDecision decide(WaitingRequest waiting, DecodeChoice engines, Backlog backlog,
+			long now) {
+		GenerationRequest request = waiting.request();
+		if (!DecodeChoice.canHold(this.ledger.decodeEngines(), request.tokens())) {
+			return this.refusals.refuse(waiting, Refusals.Reason.TOO_LARGE, Refusals.SPREAD_MILLIS, 0, now);
+		}
+		double startMillis = this.times.overheadMillis() + request.promptTokens() / this.prefills.meanTokensPerMilli();
+		EngineMemory engine = engines.choose(waiting, waiting.slackMillis(startMillis, now) < 0);
+		double wait;
+		if (engine != null) {
+			PrefillChoice prefill = PrefillChoice.choose(waiting, engine, this.ledger.prefillEngines(), this.prefills,
+					now);
+			if (prefill.waitMillis() == 0 && waiting.deadlineMillis(now) > 0) {
+				return place(waiting, engine, prefill, engines, now);
+			}
+			wait = Math.max(prefill.waitMillis(), backlog.addPrompt(request));
+		}
+		else {
+			double queue = Math.max(backlog.addMemory(request), backlog.addPrompt(request));
+			double room = engines.earmark(waiting);
+			wait = Double.isInfinite(room) ? queue : Math.max(room, backlog.prefillMillis());
+		}
+		Refusals.Reason reason = Refusals.reason(waiting, wait, startMillis, this.times.streamMillis(request), now);
+		if (reason != null) {
+			return this.refusals.refuse(waiting, reason, wait, backlog.turnoverMillis(request), now);
+		}
+		waiting.expectWait(wait);
+		return null;
+	}
+
+	private EnginePlacement place(WaitingRequest waiting, EngineMemory engine, PrefillChoice prefill,
+			DecodeChoice engines, long now) {
+		GenerationRequest request = waiting.request();
+		Placed added = new Placed(new Holding(request.id(), engine.id(), prefill.prefillEngine(),
+				request.promptTokens(), request.tokens(), 0), request.vm(), now, now);
+		added.expectPrefill(prefill.millis());
+		this.ledger.add(added, now);
+		this.placed++;
+		if (waiting.waited()) {
+			this.waited++;
+		}
+		if (engines.placed(engine, request.tokens())) {
+			this.backfilled++;
+		}
+		return added.decision();
+	}
+
+	@Override
+	public long expectedWaitMillis(String requestId, long now) {
+		WaitingRequest request = this.waiting.get(requestId);
+		return (request != null) ? Math.max(1, (long) request.expectedWaitMillis()) : 0;
+	}
+
+	@Override
+	public int waiting() {
+		return this.waiting.size();
+	}
+
+	@Override
+	public List<String> enginesBySpeed() {
+		return this.engineIds.stream()
+			.sorted(Comparator.comparingDouble((id) -> -this.prefills.tokensPerMilli(id)))
+			.toList();
+	}
+
+	/**
+	 * Returns what this scheduler has done since its start.
+	 * @return the counts
+	 */
+	public SchedulerCounts counts() {
+		return new SchedulerCounts(this.placed, this.waited, this.backfilled, this.earmarks,
+				this.refusals.count(Refusals.Reason.TOO_LARGE), this.refusals.count(Refusals.Reason.LATE),
+				this.refusals.count(Refusals.Reason.DEADLINE), this.engineRefusals);
+	}
+
+}
