Share scarce memory between ranks and sizes by what each gets

The scheduler now learns the share of each rank and size: a rank below three quarters of the next higher one is treated like it, and large requests go first in their rank while they get less. The expected wait counts arrivals that go ahead.

--- a/core/src/main/java/org/banyanstile/core/scheduling/Backlog.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/Backlog.java
@@ -23,7 +23,9 @@
 
 	private int bucket;
 
-	private double available;
+	private long available;
+
+	private long queuedTokens;
 
 	private long memoryTokens;
 
@@ -63,11 +65,13 @@
 	/**
 	 * Adds a request to the end of the queue for memory.
 	 * @param request the request
+	 * @param preceding tokens per millisecond of the requests that are expected to arrive
+	 * and to go before it
 	 * @return the time until memory is free for it and all ahead, in milliseconds
 	 */
-	double addMemory(GenerationRequest request) {
-		this.available -= request.tokens();
-		while (this.available < 0 && this.bucket < BUCKETS) {
+	double addMemory(GenerationRequest request, double preceding) {
+		this.queuedTokens += request.tokens();
+		while (this.bucket < BUCKETS && this.available - preceding * this.bucket * BUCKET_MILLIS < this.queuedTokens) {
 			this.available += this.freed[this.bucket++];
 		}
 		return (double) this.bucket * BUCKET_MILLIS;
--- a/core/src/main/java/org/banyanstile/core/scheduling/DecodeChoice.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/DecodeChoice.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 
-import org.banyanstile.core.placement.MemoryHeadroom;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -73,17 +72,16 @@
 	 * gap it fills best, so that large gaps remain for large requests; otherwise the one
 	 * with the least load, since the streams of an engine slow each other down.
 	 * @param waiting the request
-	 * @param late whether it will be late
 	 * @return the engine, or {@code null} if it fits nowhere now
 	 */
 	@Nullable
-	EngineMemory choose(WaitingRequest waiting, boolean late) {
+	EngineMemory choose(WaitingRequest waiting) {
 		GenerationRequest request = waiting.request();
 		boolean scarce = this.usedTokens + request.tokens() > SCARCE_SHARE * this.memoryTokens;
 		EngineMemory best = null;
 		double lowest = Double.MAX_VALUE;
 		for (EngineMemory engine : this.engines) {
-			if (!fits(engine, waiting, late)) {
+			if (!fits(engine, waiting)) {
 				continue;
 			}
 			double load = PREFILL_PENALTY * this.prefills.queuedTokens(engine.id())
@@ -97,9 +95,9 @@
 		return best;
 	}
 
-	private boolean fits(EngineMemory engine, WaitingRequest waiting, boolean late) {
+	private boolean fits(EngineMemory engine, WaitingRequest waiting) {
 		long tokens = waiting.request().tokens();
-		return MemoryHeadroom.fits(engine.memoryTokens(), engine.usedTokens(), tokens, late) && !engine.isFull(this.now)
+		return engine.usedTokens() + tokens <= engine.memoryTokens() && !engine.isFull(this.now)
 				&& !waiting.excludedEngines().contains(engine.id()) && isBackfill(engine, waiting.request());
 	}
 
--- a/core/src/main/java/org/banyanstile/core/scheduling/LeastCostScheduler.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/LeastCostScheduler.java
@@ -37,7 +37,11 @@
 
 	private final PlacementLedger ledger = new PlacementLedger(this.prefills, this.times);
 
-	private final QueueOrder order = new QueueOrder();
+	private final RankShares shares = new RankShares();
+
+	private final ArrivalRates arrivals = new ArrivalRates();
+
+	private final QueueOrder order = new QueueOrder(this.shares);
 
 	private final Refusals refusals = new Refusals();
 
@@ -94,8 +98,8 @@
 			return;
 		}
 		Placed known = this.ledger.find(request.id());
-		if (known != null && isValid(known.decision(), request)) {
-			this.repeated.add(known.decision());
+		if (known != null && !request.excludedEngines().contains(known.engine())) {
+			this.repeated.add(keepEngine(known, request, now).decision());
 			return;
 		}
 		if (known != null) {
@@ -106,14 +110,29 @@
 			renewed.renew(request, now);
 			return;
 		}
-		this.order.observe(request.tokens());
+		this.shares.arrived(request.tokens());
+		this.arrivals.add(request.priority(), request.tokens(), now);
 		this.waiting.put(request.id(), new WaitingRequest(request, this.nextNumber++, now));
 	}
 
-	private static boolean isValid(EnginePlacement placement, GenerationRequest request) {
-		String prefillEngine = placement.prefillEngine();
-		return !request.excludedEngines().contains(placement.engine())
-				&& (prefillEngine == null || !request.excludedEngines().contains(prefillEngine));
+	private Placed keepEngine(Placed known, GenerationRequest request, long now) {
+		String prefillEngine = known.decision().prefillEngine();
+		if (prefillEngine == null || !request.excludedEngines().contains(prefillEngine)) {
+			return known;
+		}
+		this.ledger.remove(known, now);
+		EngineMemory engine = this.ledger.memory(known.engine());
+		PrefillChoice prefill = PrefillChoice.choose(new WaitingRequest(request, 0, now), engine,
+				this.ledger.prefillEngines(), this.prefills, now);
+		return add(request, engine, prefill, now);
+	}
+
+	private Placed add(GenerationRequest request, EngineMemory engine, PrefillChoice prefill, long now) {
+		Placed added = new Placed(new Holding(request.id(), engine.id(), prefill.prefillEngine(),
+				request.promptTokens(), request.tokens(), 0), request.vm(), now, now);
+		added.expectPrefill(prefill.millis());
+		this.ledger.add(added, now);
+		return added;
 	}
 
 	@Override
@@ -158,6 +177,7 @@
 	}
 
 	private void decideWaiting(List<SchedulingDecision> decisions, long now) {
+		this.shares.update();
 		DecodeChoice engines = new DecodeChoice(this.ledger.decodeEngines(), this.prefills, this.times, now);
 		Backlog backlog = Backlog.of(this.ledger, this.prefills, this.times, now);
 		for (WaitingRequest request : this.order.sort(this.waiting.values(), this.times.overheadMillis(),
@@ -178,23 +198,31 @@
 			return this.refusals.refuse(waiting, Refusals.Reason.TOO_LARGE, Refusals.SPREAD_MILLIS, 0, now);
 		}
 		double startMillis = this.times.overheadMillis() + request.promptTokens() / this.prefills.meanTokensPerMilli();
-		EngineMemory engine = engines.choose(waiting, waiting.slackMillis(startMillis, now) < 0);
+		EngineMemory engine = engines.choose(waiting);
 		double wait;
 		if (engine != null) {
 			PrefillChoice prefill = PrefillChoice.choose(waiting, engine, this.ledger.prefillEngines(), this.prefills,
 					now);
 			if (prefill.waitMillis() == 0 && waiting.deadlineMillis(now) > 0) {
+				double value = (waiting.slackMillis(startMillis, now) < 0) ? RankShares.LATE_VALUE : 1;
+				this.shares.decided(request, value, now);
 				return place(waiting, engine, prefill, engines, now);
 			}
 			wait = Math.max(prefill.waitMillis(), backlog.addPrompt(request));
 		}
 		else {
-			double queue = Math.max(backlog.addMemory(request), backlog.addPrompt(request));
+			double queue = Math.max(
+					backlog
+						.addMemory(request,
+								this.arrivals.tokensPerMilli(request.priority(),
+										waiting.slackMillis(startMillis, now) < 0, this.shares, now)),
+					backlog.addPrompt(request));
 			double room = engines.earmark(waiting);
 			wait = Double.isInfinite(room) ? queue : Math.max(room, backlog.prefillMillis());
 		}
 		Refusals.Reason reason = Refusals.reason(waiting, wait, startMillis, this.times.streamMillis(request), now);
 		if (reason != null) {
+			this.shares.decided(request, 0, now);
 			return this.refusals.refuse(waiting, reason, wait, backlog.turnoverMillis(request), now);
 		}
 		waiting.expectWait(wait);
@@ -204,10 +232,7 @@
 	private EnginePlacement place(WaitingRequest waiting, EngineMemory engine, PrefillChoice prefill,
 			DecodeChoice engines, long now) {
 		GenerationRequest request = waiting.request();
-		Placed added = new Placed(new Holding(request.id(), engine.id(), prefill.prefillEngine(),
-				request.promptTokens(), request.tokens(), 0), request.vm(), now, now);
-		added.expectPrefill(prefill.millis());
-		this.ledger.add(added, now);
+		Placed added = add(request, engine, prefill, now);
 		this.placed++;
 		if (waiting.waited()) {
 			this.waited++;
--- a/core/src/main/java/org/banyanstile/core/scheduling/PlacementLedger.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/PlacementLedger.java
@@ -73,7 +73,7 @@
 		this.times.retainEngines(ids);
 	}
 
-	private EngineMemory memory(String engine) {
+	EngineMemory memory(String engine) {
 		return this.engines.computeIfAbsent(engine, EngineMemory::new);
 	}
 
--- a/core/src/main/java/org/banyanstile/core/scheduling/QueueOrder.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/QueueOrder.java
@@ -8,10 +8,8 @@
 /**
  * Order in which requests get memory. Requests that can still be on time come first, by
  * rank and then by the time that is left; a late response is worth a fraction of one on
- * time. A large request counts as having less time, since it takes longer until an engine
- * has room for it. Late requests follow by rank and arrival. One that has been late for
- * long comes before those of lower ranks, so that no rank is served less than a lower
- * one.
+ * time. Late requests follow by rank and arrival. One that has been late for long comes
+ * before those of lower ranks, so that no rank is served less than a lower one.
  *
  * @author banyanstile contributors
  */
@@ -22,21 +20,14 @@
 	 */
 	static final double PROMOTION_MILLIS = 1000;
 
-	/**
-	 * Time that is taken off for each multiple of the usual size.
-	 */
-	static final double SIZE_MILLIS = 100;
-
-	static final double MAX_SIZE_MILLIS = 300;
-
-	private static final double SIZE_WEIGHT = 0.05;
+	private static final int GROUPS = 4;
 
 	private static final int LATE = 1 << 20;
 
-	private double usualTokens;
+	private final RankShares shares;
 
-	void observe(long tokens) {
-		this.usualTokens += (this.usualTokens == 0) ? tokens : SIZE_WEIGHT * (tokens - this.usualTokens);
+	QueueOrder(RankShares shares) {
+		this.shares = shares;
 	}
 
 	/**
@@ -62,14 +53,13 @@
 
 	private Key key(WaitingRequest waiting, double startMillis, long now) {
 		GenerationRequest request = waiting.request();
+		int group = GROUPS * this.shares.treatedAs(request.priority()) + (this.shares.goesFirst(request) ? 0 : 1);
 		double slack = waiting.slackMillis(startMillis, now);
 		if (slack >= 0) {
-			double size = SIZE_MILLIS * (request.tokens() / Math.max(1, this.usualTokens) - 1);
-			return new Key(waiting, 2 * request.priority(), slack - Math.max(0, Math.min(MAX_SIZE_MILLIS, size)));
+			return new Key(waiting, group, slack);
 		}
-		double late = waiting.lateMillis(startMillis, now);
-		int group = (late >= PROMOTION_MILLIS) ? 2 * request.priority() + 1 : LATE + request.priority();
-		return new Key(waiting, group, -waiting.waitedMillis(now));
+		boolean promoted = waiting.lateMillis(startMillis, now) >= PROMOTION_MILLIS;
+		return new Key(waiting, group + (promoted ? 2 : LATE), -waiting.waitedMillis(now));
 	}
 
 	private record Key(WaitingRequest waiting, int group, double millis) {
