--- a/core/src/main/java/org/banyanstile/core/scheduling/Backlog.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/Backlog.java
@@ -90,6 +90,15 @@
 		return wait;
 	}
 
+	/**
+	 * Returns the time in which the prefill engines process the prompts in the queue and
+	 * those that they have.
+	 * @return the time in milliseconds
+	 */
+	double promptMillis() {
+		return this.queuedPromptMillis;
+	}
+
 	/**
 	 * Returns the time until a prefill engine may get another prompt.
 	 * @return the time in milliseconds
--- a/core/src/main/java/org/banyanstile/core/scheduling/LeastCostScheduler.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/LeastCostScheduler.java
@@ -123,7 +123,7 @@
 		this.ledger.remove(known, now);
 		EngineMemory engine = this.ledger.memory(known.engine());
 		PrefillChoice prefill = PrefillChoice.choose(new WaitingRequest(request, 0, now), engine,
-				this.ledger.prefillEngines(), this.prefills, now);
+				this.ledger.prefillEngines(), this.prefills, 0, request.onTimeMillis(), now);
 		return add(request, engine, prefill, now);
 	}
 
@@ -202,7 +202,7 @@
 		double wait;
 		if (engine != null) {
 			PrefillChoice prefill = PrefillChoice.choose(waiting, engine, this.ledger.prefillEngines(), this.prefills,
-					now);
+					backlog.promptMillis(), waiting.slackMillis(this.times.overheadMillis(), now), now);
 			if (prefill.waitMillis() == 0 && waiting.deadlineMillis(now) > 0) {
 				double value = (waiting.slackMillis(startMillis, now) < 0) ? RankShares.LATE_VALUE : 1;
 				this.shares.decided(request, value, now);
--- a/core/src/main/java/org/banyanstile/core/scheduling/PrefillChoice.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/PrefillChoice.java
@@ -46,8 +46,15 @@
 	 */
 	static final double MAX_PAUSE_SHARE = 0.5;
 
+	/**
+	 * Longest time until the end of a prefill for which a request waits to spare the
+	 * streams of a decode engine, in milliseconds.
+	 */
+	static final double MAX_PREFILL_MILLIS = 450;
+
 	static PrefillChoice choose(WaitingRequest waiting, EngineMemory decodeEngine,
-			Collection<RegisteredEndpoint> prefillEngines, PrefillQueues queues, long now) {
+			Collection<RegisteredEndpoint> prefillEngines, PrefillQueues queues, double queueMillis, double slackMillis,
+			long now) {
 		GenerationRequest request = waiting.request();
 		String self = decodeEngine.id();
 		double selfMillis = PrefillQueues.FIXED_MILLIS + (request.promptTokens() + queues.queuedTokens(self))
@@ -73,9 +80,12 @@
 		}
 		boolean delaysStreams = decodeEngine.streams() > 0 && request.maxPauseMillis() > 0
 				&& selfMillis > MAX_PAUSE_SHARE * request.maxPauseMillis();
-		double endMillis = bestBacklog + PrefillQueues.FIXED_MILLIS
+		double endMillis = Math.max(bestBacklog, queueMillis) + PrefillQueues.FIXED_MILLIS
 				+ request.promptTokens() / queues.tokensPerMilli(best.id());
-		if (!delaysStreams && DECODE_ENGINE_COST * selfMillis < endMillis) {
+		double usefulMillis = Math.min(MAX_PREFILL_MILLIS, Math.max(0, slackMillis));
+		boolean waitsTooLong = endMillis > usefulMillis && selfMillis < endMillis;
+		if ((!delaysStreams && DECODE_ENGINE_COST * selfMillis < endMillis)
+				|| (waitsTooLong && queues.queuedTokens(self) == 0)) {
 			return new PrefillChoice(null, selfMillis, 0);
 		}
 		return new PrefillChoice(best.id(), endMillis, Math.max(0, bestBacklog - MAX_BACKLOG_MILLIS));
