--- a/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
@@ -100,7 +100,7 @@
 		DecodeReservation reservation = null;
 		try {
 			while (true) {
-				PlacementAnswer answer = ticket.await(this.call::isCancelledOrTimedOut);
+				PlacementAnswer answer = ticket.await(this::isTooLateForFirstEvent);
 				if (answer instanceof PlacementAnswer.Placed placed) {
 					reservation = tryReserve(placed, ticket);
 					if (reservation != null) {
@@ -138,6 +138,10 @@
 		}
 	}
 
+	private boolean isTooLateForFirstEvent() {
+		return this.call.isCancelledOrTimedOut() || this.call.remainingMillis() < TYPICAL_FIRST_EVENT_MILLIS;
+	}
+
 	private @Nullable DecodeReservation tryReserve(PlacementAnswer.Placed placed, SchedulerTicket ticket) {
 		RegisteredEndpoint engine = this.services.engines(this.call.service(), EndpointRole.DECODE)
 			.stream()
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -28,6 +28,7 @@
 import org.banyanstile.core.quarantine.TrialLock;
 import org.banyanstile.core.quarantine.TrialRow;
 import org.banyanstile.core.quarantine.TrialWrite;
+import org.banyanstile.core.scheduling.LeastCostScheduler;
 import org.banyanstile.io.http.HttpClient;
 import org.banyanstile.server.gossip.GossipCrashes;
 import org.banyanstile.server.gossip.GossipLimit;
@@ -40,7 +41,6 @@
 import org.banyanstile.server.gossip.MemberState;
 import org.banyanstile.server.gossip.Membership;
 import org.banyanstile.server.gossip.VmRegistration;
-import org.banyanstile.server.scheduling.FifoScheduler;
 import org.banyanstile.server.scheduling.SchedulerNode;
 import org.banyanstile.server.view.FleetReader;
 import org.banyanstile.server.view.FleetView;
@@ -63,6 +63,12 @@
 	 */
 	private static final Duration MAX_CONNECTION_IDLE = Duration.ofSeconds(2);
 
+	/**
+	 * Age at which a scheduler decides at once. The node itself waits for the holdings of
+	 * other VMs where there can be any.
+	 */
+	private static final long SCHEDULER_START_NANOS = 1_000_000_000L;
+
 	private final RouterServices services;
 
 	private final TeamQuotas quotas;
@@ -187,7 +193,7 @@
 			return null;
 		}
 		SchedulerNode scheduler = SchedulerNode.start(address, membership, new FleetEngines(services),
-				FifoScheduler::new, ticker, registry, log);
+				(now) -> LeastCostScheduler.create(now - SCHEDULER_START_NANOS), ticker, registry, log);
 		services.useScheduler(scheduler.client());
 		return scheduler;
 	}
--- a/server/src/main/java/org/banyanstile/server/scheduling/HostedGroup.java
+++ b/server/src/main/java/org/banyanstile/server/scheduling/HostedGroup.java
@@ -3,7 +3,6 @@
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -26,16 +25,10 @@
 	 * Time for which a scheduler that takes over from another one waits for the holdings
 	 * of the other VMs.
 	 */
-	private static final long HANDOVER_NANOS = 300_000_000L;
+	private static final long HANDOVER_NANOS = 150_000_000L;
 
 	private static final long ENGINES_NANOS = 100_000_000L;
 
-	/**
-	 * Time for which the end of a request is remembered, so that a late datagram does not
-	 * add it again.
-	 */
-	private static final long ENDED_NANOS = 5_000_000_000L;
-
 	private static final int MAX_FASTEST = 8;
 
 	private final String vm;
@@ -48,8 +41,6 @@
 
 	private final Map<String, SocketAddress> senders = new HashMap<>();
 
-	private final LinkedHashMap<String, Long> endedAt = new LinkedHashMap<>();
-
 	private final long createdAt;
 
 	private boolean takenOver;
@@ -72,9 +63,6 @@
 		String id = message.request().id();
 		remember(message.request().vm(), sender, now);
 		this.takenOver |= message.handover();
-		if (this.endedAt.containsKey(id)) {
-			return List.of();
-		}
 		refreshEngines(now);
 		this.scheduler.add(message.request(), now);
 		List<Outgoing> outgoing = decideNow(now);
@@ -90,11 +78,7 @@
 			case PREFILLED -> this.scheduler.prefilled(message.requestId(), message.engine(), message.tokens(),
 					message.millis(), now);
 			case ENGINE_REFUSED -> this.scheduler.refusedByEngine(message.requestId(), message.engine(), now);
-			case ENDED -> {
-				this.endedAt.put(message.requestId(), now);
-				this.endedAt.values().removeIf((at) -> now - at > ENDED_NANOS);
-				this.scheduler.ended(message.requestId(), message.millis(), now);
-			}
+			case ENDED -> this.scheduler.ended(message.requestId(), message.millis(), now);
 		}
 		return decide(now);
 	}
--- a/server/src/main/java/org/banyanstile/server/scheduling/SchedulerHost.java
+++ b/server/src/main/java/org/banyanstile/server/scheduling/SchedulerHost.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Supplier;
+import java.util.function.LongFunction;
 
 import org.banyanstile.core.common.Ticker;
 import org.banyanstile.core.scheduling.GenerationScheduler;
@@ -25,7 +25,7 @@
 
 	private final EngineSource source;
 
-	private final Supplier<GenerationScheduler> factory;
+	private final LongFunction<GenerationScheduler> factory;
 
 	private final Ticker ticker;
 
@@ -35,7 +35,7 @@
 
 	private final Map<EngineGroup, HostedGroup> groups = new ConcurrentHashMap<>();
 
-	SchedulerHost(String vm, EngineSource source, Supplier<GenerationScheduler> factory, Ticker ticker,
+	SchedulerHost(String vm, EngineSource source, LongFunction<GenerationScheduler> factory, Ticker ticker,
 			SchedulerMetrics metrics, DecisionLog log) {
 		this.vm = vm;
 		this.source = source;
@@ -134,8 +134,9 @@
 			return null;
 		}
 		return this.groups.computeIfAbsent(group, (added) -> {
+			long now = this.ticker.nanos();
 			this.log.stateChange("scheduling begun", "group", added.key());
-			return new HostedGroup(this.vm, added, this.source, this.factory.get(), this.ticker.nanos());
+			return new HostedGroup(this.vm, added, this.source, this.factory.apply(now), now);
 		});
 	}
 
--- a/server/src/main/java/org/banyanstile/server/scheduling/SchedulerNode.java
+++ b/server/src/main/java/org/banyanstile/server/scheduling/SchedulerNode.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Supplier;
+import java.util.function.LongFunction;
 
 import io.micrometer.core.instrument.MeterRegistry;
 import org.banyanstile.core.common.Ticker;
@@ -71,7 +71,7 @@
 	private volatile boolean closed;
 
 	private SchedulerNode(DatagramChannel channel, int port, Membership membership, EngineSource source,
-			Supplier<GenerationScheduler> factory, Ticker ticker, MeterRegistry registry, DecisionLog log) {
+			LongFunction<GenerationScheduler> factory, Ticker ticker, MeterRegistry registry, DecisionLog log) {
 		this.channel = channel;
 		this.port = port;
 		this.membership = membership;
@@ -93,7 +93,7 @@
 	 * @param address address to bind
 	 * @param membership the VMs of the fleet
 	 * @param source the engines
-	 * @param factory creates the scheduler of a group of engines
+	 * @param factory creates the scheduler of a group of engines at a time in nanoseconds
 	 * @param ticker time source
 	 * @param registry registry of the counters
 	 * @param log log of changes
@@ -101,7 +101,7 @@
 	 * @throws IOException if the address cannot be bound
 	 */
 	public static SchedulerNode start(InetSocketAddress address, Membership membership, EngineSource source,
-			Supplier<GenerationScheduler> factory, Ticker ticker, MeterRegistry registry, DecisionLog log)
+			LongFunction<GenerationScheduler> factory, Ticker ticker, MeterRegistry registry, DecisionLog log)
 			throws IOException {
 		DatagramChannel channel = DatagramChannel.open();
 		try {
