Decide on engine roles by demand and speed where VMs plan together

Change: each VM gossips counters of its prefill work and of the memory that its generations need, and samples of engine speeds. The owner of role changes derives the share from the rates of all VMs, chooses fast engines for prefill and slow ones for decoding, and exchanges a slow prefill engine for a fast decode engine, one at a time. Switched on by the new setting fleetAdmission; without it roles are planned as before.

--- a/benchmark/src/main/java/org/banyanstile/benchmark/GossipSlopes.java
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/GossipSlopes.java
@@ -8,11 +8,14 @@
 import org.banyanstile.core.limit.SharedQuota;
 import org.banyanstile.io.frame.Message;
 import org.banyanstile.io.frame.MessageCodec;
+import org.banyanstile.server.gossip.GossipEngines;
 import org.banyanstile.server.gossip.GossipLoad;
 import org.banyanstile.server.gossip.GossipMember;
 import org.banyanstile.server.gossip.GossipRoleChange;
+import org.banyanstile.server.gossip.GossipSpeed;
 import org.banyanstile.server.gossip.GossipState;
 import org.banyanstile.server.gossip.GossipUse;
+import org.banyanstile.server.gossip.GossipWork;
 import org.banyanstile.server.gossip.Membership;
 
 /**
@@ -51,7 +54,7 @@
 			.mapToObj((i) -> new GossipUse("team" + i, 1_000_000L + i))
 			.toList();
 		return new GossipState(member(0, heartbeat), members, loads, uses, List.of(), List.of(), List.of(),
-				List.of(1000L, 2000L), List.of(50_000_000L, 50_000_000L), false);
+				List.of(1000L, 2000L), List.of(50_000_000L, 50_000_000L), false, GossipEngines.none());
 	}
 
 	private static void datagrams(SlopeTable table, int vms) {
@@ -60,6 +63,9 @@
 			.registerNested(GossipLoad.class)
 			.registerNested(GossipUse.class)
 			.registerNested(GossipRoleChange.class)
+			.registerNested(GossipWork.class)
+			.registerNested(GossipSpeed.class)
+			.registerNested(GossipEngines.class)
 			.register(GossipState.class);
 		List<GossipMember> members = IntStream.range(1, vms).mapToObj((vm) -> member(vm, 1)).toList();
 		Membership membership = Membership.of(member(vms, 0));
--- a/core/src/main/java/org/banyanstile/core/placement/RoleBalance.java
+++ b/core/src/main/java/org/banyanstile/core/placement/RoleBalance.java
@@ -87,7 +87,7 @@
 		return changes;
 	}
 
-	private static int prefillEngines(List<RegisteredEndpoint> engines, Map<String, EndpointRole> changing) {
+	static int prefillEngines(List<RegisteredEndpoint> engines, Map<String, EndpointRole> changing) {
 		int prefill = 0;
 		for (RegisteredEndpoint engine : engines) {
 			prefill += (changing.getOrDefault(engine.id(), engine.role()) == EndpointRole.PREFILL) ? 1 : 0;
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -142,6 +142,9 @@
 			.registerNested(GossipCrashes.class)
 			.registerNested(GossipLimit.class)
 			.registerNested(GossipRow.class)
+			.registerNested(GossipWork.class)
+			.registerNested(GossipSpeed.class)
+			.registerNested(GossipEngines.class)
 			.register(GossipRows.class)
 			.register(GossipState.class);
 	}
@@ -237,7 +240,8 @@
 		}
 		List<GossipMember> peers = withMembers ? this.membership.alivePeers(this.ticker.nanos()) : List.of();
 		return new GossipState(this.membership.self(), peers, this.local.loads(), this.local.uses(),
-				this.local.roleChanges(), this.local.crashes(), this.local.limits(), versions, millis, reply);
+				this.local.roleChanges(), this.local.crashes(), this.local.limits(), versions, millis, reply,
+				this.local.engines());
 	}
 
 	private void send(ByteBuffer datagram, SocketAddress target) {
@@ -394,6 +398,12 @@
 		 */
 		List<GossipLimit> limits();
 
+		/**
+		 * Returns what this VM has observed of engines.
+		 * @return the observations, empty if they are not used
+		 */
+		GossipEngines engines();
+
 		/**
 		 * Receives the state of another VM.
 		 * @param state the state
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipState.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipState.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * State that a VM sends to other VMs in each gossip round.
  *
@@ -16,10 +18,12 @@
  * @param versions for each table the version up to which it knows all changes
  * @param millis the store's time of each of these versions
  * @param reply whether this replies to another state, and needs no reply itself
+ * @param engines what it has observed of engines, {@code null} from a VM that does not
+ * send it
  * @author banyanstile contributors
  */
 public record GossipState(GossipMember self, List<GossipMember> members, List<GossipLoad> loads, List<GossipUse> uses,
 		List<GossipRoleChange> roleChanges, List<GossipCrashes> crashes, List<GossipLimit> limits, List<Long> versions,
-		List<Long> millis, boolean reply) {
+		List<Long> millis, boolean reply, @Nullable GossipEngines engines) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -145,6 +145,7 @@
 			run();
 		}
 		finally {
+			recordMemory();
 			this.crashGuard.close();
 			discardPrompt();
 			if (this.failoverReservation != null) {
@@ -199,6 +200,14 @@
 		fail(reason);
 	}
 
+	private void recordMemory() {
+		long firstEventMillis = this.timing.firstEventMillis();
+		if (firstEventMillis >= 0) {
+			this.services.observations()
+				.needed(this.call.service(), requiredTokens(), this.call.ageMillis() - firstEventMillis);
+		}
+	}
+
 	// Without event ids another engine would repeat what the caller has received.
 	private boolean mayContinueElsewhere() {
 		return this.attempts.mayRetryAfterRun() && this.sequence.isResumable();
@@ -216,7 +225,14 @@
 			this.failoverReservation = null;
 			return reserved;
 		}
-		return releaseUnlessPermitted(reservations().awaitReservation());
+		long askedAtMillis = this.call.ageMillis();
+		try {
+			return releaseUnlessPermitted(reservations().awaitReservation());
+		}
+		finally {
+			this.services.observations()
+				.needed(this.call.service(), requiredTokens(), this.call.ageMillis() - askedAtMillis);
+		}
 	}
 
 	private @Nullable DecodeReservation releaseUnlessPermitted(DecodeReservation reservation) {
@@ -431,6 +447,7 @@
 		if (prefills) {
 			this.prefillingDecodeEngine = engine;
 			this.services.loads().beginPrefill(engine.id(), this.call.fields().promptTokens());
+			this.services.observations().prefill(this.call.service(), engine.id(), this.call.fields().promptTokens());
 		}
 	}
 
@@ -443,6 +460,9 @@
 	}
 
 	private void recordComplete(RegisteredEndpoint engine) {
+		this.services.observations()
+			.streamed(engine.id(), this.timing.events() - 1,
+					this.timing.lastEventMillis() - this.timing.firstEventMillis());
 		this.services.metrics().longestPause(this.call.route().kind().name(), this.timing.longestPauseMillis());
 		this.attempts.log(engine, "complete",
 				this.splitter.eventCount() + " events, the first after " + this.timing.firstEventMillis()
--- a/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
+++ b/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
@@ -122,6 +122,7 @@
 			throws NotRunException, UnknownOutcomeException, HttpException {
 		long tokens = Math.max(1, this.call.fields().promptTokens());
 		long startNanos = System.nanoTime();
+		long queuedTokens = this.services.loads().total(engine.id()).tokens();
 		this.services.loads().begin(engine.id(), tokens);
 		EndpointFields fields = new EndpointFields(engine.id(), this.call.team(), this.call.endpointTimeoutMillis(),
 				true, null, null, GenerationRun.NO_URGENCY, null);
@@ -140,6 +141,7 @@
 						engine.id() + " responded to a prefill request with " + response.status());
 			}
 			this.services.prefillSpeeds().prefilled(engine.id(), tokens, millis);
+			this.services.observations().prefilled(this.call.service(), engine.id(), tokens, queuedTokens, millis);
 			this.attempts.log(engine, "prefilled", "in " + millis + " ms");
 			return new PrefilledPrompt(engine, handle, this.services.engineCalls().cacheSource(engine, handle),
 					System.nanoTime());
--- a/server/src/main/java/org/banyanstile/server/router/RoleController.java
+++ b/server/src/main/java/org/banyanstile/server/router/RoleController.java
@@ -18,9 +18,11 @@
 import org.banyanstile.core.catalog.ServedService;
 import org.banyanstile.core.lease.RoleChangeOwnership;
 import org.banyanstile.core.placement.AbsentEngines;
+import org.banyanstile.core.placement.DemandBalance;
 import org.banyanstile.core.placement.EndpointLoads;
 import org.banyanstile.core.placement.RoleBalance;
 import org.banyanstile.core.placement.RoleChanges;
+import org.banyanstile.core.placement.RoleDemand;
 import org.banyanstile.io.http.HttpException;
 import org.banyanstile.server.view.FleetSnapshot;
 import org.banyanstile.server.view.FleetView;
@@ -56,6 +58,12 @@
 	 */
 	private static final long ORDER_MARGIN_NANOS = 4_000_000_000L;
 
+	/**
+	 * Shortest time between orders that follow the demand, longer than a role change
+	 * takes.
+	 */
+	private static final long MIN_ORDER_INTERVAL_NANOS = 8_000_000_000L;
+
 	private final String vm;
 
 	private final FleetView view;
@@ -68,6 +76,8 @@
 
 	private final RoleChanges roleChanges;
 
+	private final RouterServices services;
+
 	private final BooleanSupplier isEligible;
 
 	private final DecisionLog log;
@@ -93,18 +103,24 @@
 	 */
 	private final Map<String, Long> surplusSince = new HashMap<>();
 
+	/**
+	 * Time in nanoseconds of the last orders, by service.
+	 */
+	private final Map<String, Long> orderedAtNanos = new HashMap<>();
+
 	private Set<String> knownIds = Set.of();
 
 	private long knownIdsSinceNanos;
 
 	RoleController(String vm, FleetView view, TableSource store, EngineCalls engineCalls, EndpointLoads loads,
-			RoleChanges roleChanges, BooleanSupplier isEligible, DecisionLog log) {
+			RoleChanges roleChanges, RouterServices services, BooleanSupplier isEligible, DecisionLog log) {
 		this.vm = vm;
 		this.view = view;
 		this.store = store;
 		this.engineCalls = engineCalls;
 		this.loads = loads;
 		this.roleChanges = roleChanges;
+		this.services = services;
 		this.isEligible = isEligible;
 		this.log = log;
 		this.ownership = RoleChangeOwnership.of(vm);
@@ -162,7 +178,7 @@
 	}
 
 	private void balance(String service, EngineTraits traits, boolean stable, long now) throws TableSourceException {
-		List<RoleBalance.RoleChange> plan = plan(service, now);
+		List<RoleBalance.RoleChange> plan = plan(service, traits, now);
 		boolean surplus = !plan.isEmpty() && plan.get(0).role() == EndpointRole.DECODE;
 		if (!surplus) {
 			this.surplusSince.remove(service);
@@ -172,12 +188,14 @@
 		if (plan.isEmpty() || !due || !confirmOwnership()) {
 			return;
 		}
+		logDemand(service);
+		this.orderedAtNanos.put(service, now);
 		for (RoleBalance.RoleChange change : plan) {
 			order(change, traits);
 		}
 	}
 
-	private List<RoleBalance.RoleChange> plan(String service, long now) {
+	private List<RoleBalance.RoleChange> plan(String service, EngineTraits traits, long now) {
 		FleetSnapshot snapshot = this.view.snapshot();
 		List<RegisteredEndpoint> usable = snapshot.usable()
 			.getOrDefault(service, List.of())
@@ -195,9 +213,32 @@
 		Map<String, EndpointRole> pending = new HashMap<>();
 		this.roleChanges.pending(now).forEach((change) -> pending.put(change.endpoint(), change.role()));
 		this.issuedOrders.forEach((id, order) -> pending.put(id, order.role()));
+		if (this.services.fleetAdmission()) {
+			return planByDemand(service, traits, DemandBalance.of(usable, absent, pending,
+					this.services.observations().speeds(), (id) -> this.loads.total(id).tokens()), now);
+		}
 		return RoleBalance.plan(usable, absent, pending, (id) -> this.loads.total(id).tokens());
 	}
 
+	private List<RoleBalance.RoleChange> planByDemand(String service, EngineTraits traits, DemandBalance balance,
+			long now) {
+		RoleDemand demand = this.services.observations().demand(this.vm, service);
+		Long orderedAt = this.orderedAtNanos.get(service);
+		if (demand != null && orderedAt != null && now - orderedAt < MIN_ORDER_INTERVAL_NANOS) {
+			return List.of();
+		}
+		return balance.plan(demand, traits.memoryTokens());
+	}
+
+	private void logDemand(String service) {
+		RoleDemand demand = this.services.fleetAdmission() ? this.services.observations().demand(this.vm, service)
+				: null;
+		if (demand != null) {
+			this.log.stateChange("role demand", "service", service, "prefillEngines", demand.prefillEngines(),
+					"memoryTokens", demand.memoryTokens());
+		}
+	}
+
 	/**
 	 * Confirms the ownership of role changes at the store.
 	 * @return whether this VM may give orders now
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -29,6 +29,7 @@
 import org.banyanstile.core.quarantine.TrialWrite;
 import org.banyanstile.io.http.HttpClient;
 import org.banyanstile.server.gossip.GossipCrashes;
+import org.banyanstile.server.gossip.GossipEngines;
 import org.banyanstile.server.gossip.GossipLimit;
 import org.banyanstile.server.gossip.GossipLoad;
 import org.banyanstile.server.gossip.GossipMember;
@@ -141,8 +142,6 @@
 		RoleChanges roleChanges = new RoleChanges();
 		EndpointLimits limits = new EndpointLimits();
 		CrashQuarantine quarantine = CrashQuarantine.create();
-		LocalGossipState localState = new LocalGossipState(view, loads, quotas, roleChanges, limits, quarantine,
-				shutdown, ticker, log);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 		RouterServices services = new RouterServices(settings, view, roleChanges, platform.requests(),
 				platform.engines(), loads, health, EndpointPicker.create(loads, health, new Random()),
@@ -150,6 +149,8 @@
 				(key) -> membership.position(key, ticker.nanos()), quarantine,
 				TrialLock.of((rows) -> writeTrials(platform.source(), rows)), () -> registration.others().size() + 1,
 				bodies, log, registry);
+		LocalGossipState localState = new LocalGossipState(services, view, loads, quotas, roleChanges, limits,
+				quarantine, shutdown, ticker, log);
 		RequestIntake intake = new RequestIntake(services, quotas, shutdown);
 		RouterServer server = new RouterServer(services, intake, platform.directory(),
 				() -> callerAddresses(membership, shutdown, ticker), shutdown);
@@ -164,7 +165,7 @@
 			services.metrics().setUsableEndpoints(view.snapshot().usable());
 		});
 		RoleController roleController = new RoleController(settings.vm(), view, platform.source(), platform.engines(),
-				loads, roleChanges, () -> membership.rank(ticker.nanos()) == 0 && !shutdown.hasBegun(), log);
+				loads, roleChanges, services, () -> membership.rank(ticker.nanos()) == 0 && !shutdown.hasBegun(), log);
 		roleController.start();
 		log.lifecycle("started", "vm", settings.vm(), "callers", text(addresses.callers()));
 		return new Router(services, quotas, shutdown, log, reader, registration, gossip, intake, server, roleController,
@@ -271,6 +272,8 @@
 	 */
 	private static final class LocalGossipState implements GossipNode.LocalState {
 
+		private final RouterServices services;
+
 		private final FleetView view;
 
 		private final EndpointLoads loads;
@@ -289,9 +292,10 @@
 
 		private final DecisionLog log;
 
-		private LocalGossipState(FleetView view, EndpointLoads loads, TeamQuotas quotas, RoleChanges roleChanges,
-				EndpointLimits limits, CrashQuarantine quarantine, GracefulShutdown shutdown, Ticker ticker,
-				DecisionLog log) {
+		private LocalGossipState(RouterServices services, FleetView view, EndpointLoads loads, TeamQuotas quotas,
+				RoleChanges roleChanges, EndpointLimits limits, CrashQuarantine quarantine, GracefulShutdown shutdown,
+				Ticker ticker, DecisionLog log) {
+			this.services = services;
 			this.view = view;
 			this.loads = loads;
 			this.quotas = quotas;
@@ -355,8 +359,14 @@
 				.toList();
 		}
 
+		@Override
+		public GossipEngines engines() {
+			return this.services.fleetAdmission() ? this.services.observations().own() : GossipEngines.none();
+		}
+
 		@Override
 		public void received(GossipState state) {
+			this.services.observations().report(state.self().vm(), state.engines(), this.ticker.nanos());
 			List<EndpointLoads.Load> reportedLoads = state.loads()
 				.stream()
 				.map((load) -> new EndpointLoads.Load(load.endpoint(), load.requests(), load.tokens()))
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -58,6 +58,8 @@
 
 	private final PrefillSpeeds prefillSpeeds = new PrefillSpeeds();
 
+	private final EngineObservations observations = new EngineObservations();
+
 	private final EndpointClient client;
 
 	private final EndpointLimits limits;
@@ -186,6 +188,18 @@
 		return this.prefillSpeeds;
 	}
 
+	EngineObservations observations() {
+		return this.observations;
+	}
+
+	/**
+	 * Returns whether VMs plan admission, roles and the choice of endpoints together.
+	 * @return whether they do
+	 */
+	boolean fleetAdmission() {
+		return this.settings.fleetAdmission();
+	}
+
 	EndpointClient client() {
 		return this.client;
 	}
--- a/server/src/main/java/org/banyanstile/server/router/RouterSettings.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterSettings.java
@@ -12,9 +12,11 @@
  * @param retryWindow sliding window of the retry budget
  * @param limitTolerance tokens by which a team may temporarily exceed its limit
  * @param shutdown time from the request to stop until the process has to have exited
+ * @param fleetAdmission whether VMs plan admission, roles and the choice of endpoints
+ * together
  * @author banyanstile contributors
  */
 public record RouterSettings(String vm, String dataCentre, double retryRatio, double retryExtra, Duration retryWindow,
-		double limitTolerance, Duration shutdown) {
+		double limitTolerance, Duration shutdown, boolean fleetAdmission) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/router/StreamTiming.java
+++ b/server/src/main/java/org/banyanstile/server/router/StreamTiming.java
@@ -46,6 +46,22 @@
 		return this.firstEventMillis;
 	}
 
+	/**
+	 * Returns the time to the last event.
+	 * @return milliseconds from the arrival of the request, 0 before the first event
+	 */
+	long lastEventMillis() {
+		return this.lastEventMillis;
+	}
+
+	/**
+	 * Returns the number of events.
+	 * @return the number
+	 */
+	int events() {
+		return this.events;
+	}
+
 	/**
 	 * Returns the longest pause between two events.
 	 * @return milliseconds, 0 before the second event
--- a/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
@@ -194,6 +194,11 @@
 			return List.copyOf(this.roleChanges);
 		}
 
+		@Override
+		public GossipEngines engines() {
+			return GossipEngines.none();
+		}
+
 		@Override
 		public List<GossipLimit> limits() {
 			return List.of();
