Pause endpoints of plain services that said they are full

Cause: a refusal of a plain endpoint left no trace in its health, so the next request of the VM could go to the same full endpoint. At 60 VMs the reports of the load are two seconds old, longer than a burst.

Change: a VM that is refused leaves the endpoint to the others for one second, and for longer after each further refusal. Where all endpoints pause, the one with the lowest expected time still gets the request. Only where fleetAdmission is set.

--- a/core/src/main/java/org/banyanstile/core/placement/EndpointHealth.java
+++ b/core/src/main/java/org/banyanstile/core/placement/EndpointHealth.java
@@ -24,6 +24,17 @@
 	 */
 	static final long MAX_PAUSE_NANOS = 2_400_000_000L;
 
+	/**
+	 * First pause after an endpoint was full. A VM of a large fleet sends an endpoint
+	 * less than one request a second, so a shorter pause would spare it nothing.
+	 */
+	static final long FIRST_FULL_PAUSE_NANOS = 1_000_000_000L;
+
+	/**
+	 * Longest pause after an endpoint was full, for one that stalls.
+	 */
+	static final long MAX_FULL_PAUSE_NANOS = 4_000_000_000L;
+
 	/**
 	 * Weight of the newest request in the moving averages. Ten requests replace most of
 	 * the old average.
@@ -43,6 +54,9 @@
 		State state = state(endpoint, now);
 		state.unreachable = 0;
 		state.pausedUntil = Long.MIN_VALUE;
+		if (now >= state.fullUntil) {
+			state.fullCount = 0;
+		}
 		state.failureRate += NEWEST_WEIGHT * ((failed ? 1 : 0) - state.failureRate);
 		state.millis = (state.millis == 0) ? millis : state.millis + NEWEST_WEIGHT * (millis - state.millis);
 	}
@@ -73,6 +87,21 @@
 		state.pausedUntil = Math.max(state.pausedUntil, now + FIRST_PAUSE_NANOS);
 	}
 
+	/**
+	 * Records that an endpoint of a plain service refused a request since it was full.
+	 * This is for a fleet of many VMs, whose reports of the load are older than a burst:
+	 * every VM that is refused leaves the endpoint to the others for a time that grows
+	 * with each refusal. A response to a request that was sent earlier does not end it.
+	 * @param endpoint id of the endpoint
+	 * @param now the current time in nanoseconds
+	 */
+	public synchronized void full(String endpoint, long now) {
+		State state = state(endpoint, now);
+		long pause = Math.min(FIRST_FULL_PAUSE_NANOS << Math.min(state.fullCount, 2), MAX_FULL_PAUSE_NANOS);
+		state.fullCount++;
+		state.fullUntil = now + pause;
+	}
+
 	/**
 	 * Records that another instance responds at the address of an endpoint.
 	 * @param endpoint id of the endpoint
@@ -90,7 +119,7 @@
 	 */
 	public synchronized boolean isUsable(String endpoint, long now) {
 		State state = this.states.get(endpoint);
-		return state == null || now >= state.pausedUntil;
+		return state == null || (now >= state.pausedUntil && now >= state.fullUntil);
 	}
 
 	/**
@@ -133,6 +162,10 @@
 
 		private long pausedUntil = Long.MIN_VALUE;
 
+		private int fullCount;
+
+		private long fullUntil = Long.MIN_VALUE;
+
 		private long usedAt;
 
 	}
--- a/core/src/test/java/org/banyanstile/core/placement/EndpointPickerTests.java
+++ b/core/src/test/java/org/banyanstile/core/placement/EndpointPickerTests.java
@@ -58,6 +58,27 @@
 		assertThat(this.health.isUsable("one", EndpointHealth.FIRST_PAUSE_NANOS), is(true));
 	}
 
+	@Test
+	void fullEndpointIsLeftToOtherVmsForLongerAfterEachRefusal() {
+		long first = EndpointHealth.FIRST_FULL_PAUSE_NANOS;
+		this.health.full("one", 0);
+		this.health.answered("one", 50, false, first / 2);
+		assertThat(chosen(this.one), is(0));
+		assertThat(this.health.isUsable("one", first), is(true));
+		this.health.full("one", first);
+		assertThat(this.health.isUsable("one", 3 * first - 1), is(false));
+		this.health.answered("one", 50, false, 3 * first);
+		this.health.full("one", 3 * first);
+		assertThat(this.health.isUsable("one", 4 * first), is(true));
+	}
+
+	@Test
+	void oneOfSeveralFullEndpointsIsStillChosen() {
+		this.health.full("one", 0);
+		this.health.full("two", 0);
+		assertThat(chosen(this.one) + chosen(this.two) > 0, is(true));
+	}
+
 	@Test
 	void endpointThatFailsOftenGetsLess() {
 		for (int i = 0; i < 10; i++) {
--- a/server/src/main/java/org/banyanstile/server/router/PlainRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/PlainRun.java
@@ -100,6 +100,9 @@
 			catch (NotRunException ex) {
 				reason = String.valueOf(ex.getMessage());
 				this.attempts.recordNotRun(endpoint, ex);
+				if (ex.hasReachedEndpoint() && this.services.fleetAdmission()) {
+					this.services.health().full(endpoint.id(), System.nanoTime());
+				}
 			}
 			catch (UnknownOutcomeException ex) {
 				reason = String.valueOf(ex.getMessage());
