Choose prefill engines by expected end where VMs plan together

Cause: without the scheduler each VM compared queued tokens, so a slow prefill engine with a short queue was taken for a fast one.

Change: queued tokens and the prompt are divided by the speed that all VMs measured. Only where fleetAdmission is set.

--- a/core/src/main/java/org/banyanstile/core/placement/EndpointPicker.java
+++ b/core/src/main/java/org/banyanstile/core/placement/EndpointPicker.java
@@ -130,6 +130,34 @@
 		return best;
 	}
 
+	/**
+	 * Chooses the prefill engine that is expected to complete a prompt first. This is for
+	 * services whose engines differ in speed: a slow engine with a short queue completes
+	 * a prompt later than a fast one with a longer queue.
+	 * @param engines the prefill engines
+	 * @param tried ids that were tried before, which are left out
+	 * @param dataCentre data centre of the decode engine
+	 * @param promptTokens tokens of the prompt
+	 * @param speeds speeds of the engines
+	 * @param now the current time in nanoseconds
+	 * @return the engine, or {@code null} if none is usable
+	 */
+	public @Nullable RegisteredEndpoint earliestEnd(List<RegisteredEndpoint> engines, Set<String> tried,
+			String dataCentre, long promptTokens, EngineSpeeds.Table speeds, long now) {
+		RegisteredEndpoint best = null;
+		double lowest = Double.MAX_VALUE;
+		for (RegisteredEndpoint engine : engines) {
+			double tokens = loadTokens(engine) + promptTokens + this.random.nextDouble() * PREFILL_NOISE_TOKENS;
+			double millis = tokens / speeds.of(engine.id())
+					+ (engine.dataCentre().equals(dataCentre) ? 0 : REMOTE_PENALTY_TOKENS / speeds.typical());
+			if (millis < lowest && !tried.contains(engine.id()) && this.health.isUsable(engine.id(), now)) {
+				lowest = millis;
+				best = engine;
+			}
+		}
+		return best;
+	}
+
 	/**
 	 * Orders decode engines by the memory that is expected to be free, most first.
 	 * @param engines the decode engines
--- a/core/src/test/java/org/banyanstile/core/placement/EndpointPickerTests.java
+++ b/core/src/test/java/org/banyanstile/core/placement/EndpointPickerTests.java
@@ -1,6 +1,7 @@
 package org.banyanstile.core.placement;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 
@@ -119,6 +120,31 @@
 		assertThat(this.picker.leastTokens(List.of(this.one), Set.of("one"), "dc1", 0), is(nullValue()));
 	}
 
+	private int chosenForPrefill(RegisteredEndpoint wanted, List<RegisteredEndpoint> engines, Set<String> tried) {
+		EngineSpeeds.Table speeds = new EngineSpeeds.Table(Map.of("one", 20.0, "two", 60.0, "far", 60.0), 40);
+		int count = 0;
+		for (int i = 0; i < 100; i++) {
+			count += (this.picker.earliestEnd(engines, tried, "dc1", 4000, speeds, 0) == wanted) ? 1 : 0;
+		}
+		return count;
+	}
+
+	@Test
+	void fastPrefillEngineWithAQueueCompletesBeforeASlowOneWithout() {
+		this.loads.report("vm2", List.of(new EndpointLoads.Load("two", 1, 4000)), 0);
+		List<RegisteredEndpoint> engines = List.of(this.one, this.two);
+		assertThat(chosenForPrefill(this.two, engines, Set.of()), is(100));
+		assertThat(chosenForPrefill(this.one, engines, Set.of("two")), is(100));
+		this.loads.report("vm2", List.of(new EndpointLoads.Load("two", 3, 12_000)), 0);
+		assertThat(chosenForPrefill(this.one, engines, Set.of()), is(100));
+	}
+
+	@Test
+	void prefillEngineOfTheSameDataCentreCompletesFirstIfSpeedsAreEqual() {
+		RegisteredEndpoint remote = endpoint("far", "dc2");
+		assertThat(chosenForPrefill(this.two, List.of(remote, this.two), Set.of()), is(100));
+	}
+
 	@Test
 	void prefillEngineInTheDataCentreOfTheDecodeEngineIsPreferred() {
 		RegisteredEndpoint remote = endpoint("far", "dc2");
--- a/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
+++ b/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
@@ -64,8 +64,7 @@
 		for (int i = 0; i < MAX_PREFILL_ATTEMPTS && !this.call.isCancelledOrTimedOut()
 				&& !this.crashGuard.isRefused(); i++) {
 			List<RegisteredEndpoint> engines = this.services.engines(this.call.service(), EndpointRole.PREFILL);
-			RegisteredEndpoint engine = this.services.picker()
-				.leastTokens(engines, tried, reservation.engine().dataCentre(), System.nanoTime());
+			RegisteredEndpoint engine = pickEngine(engines, tried, reservation.engine().dataCentre());
 			if (engine == null || !usesPrefillEngine(engine, reservation.engine())) {
 				return null;
 			}
@@ -100,6 +99,22 @@
 		return null;
 	}
 
+	private @Nullable RegisteredEndpoint pickEngine(List<RegisteredEndpoint> engines, Set<String> tried,
+			String dataCentre) {
+		long now = System.nanoTime();
+		if (!this.services.fleetAdmission()) {
+			return this.services.picker().leastTokens(engines, tried, dataCentre, now);
+		}
+		return this.services.picker()
+			.earliestEnd(engines, tried, dataCentre, this.call.fields().promptTokens(),
+					this.services.observations().speeds(), now);
+	}
+
+	private double tokensPerMilli(RegisteredEndpoint engine) {
+		return this.services.fleetAdmission() ? this.services.observations().speeds().of(engine.id())
+				: this.services.prefillSpeeds().tokensPerMilli(engine.id());
+	}
+
 	private void recordLoss(RegisteredEndpoint engine, UnknownOutcomeException ex) {
 		if (ex.isConnectionBroken()) {
 			this.crashGuard.connectionBroken(engine);
@@ -115,7 +130,7 @@
 		PrefillPlacement.DecodeEngine decode = new PrefillPlacement.DecodeEngine(
 				loads.total(decodeEngine.id()).requests() - 1, loads.prefillTokens(decodeEngine.id()));
 		return PrefillPlacement.usesPrefillEngine(prompt, loads.total(prefillEngine.id()).tokens(),
-				this.services.prefillSpeeds().tokensPerMilli(prefillEngine.id()), decode);
+				tokensPerMilli(prefillEngine), decode);
 	}
 
 	private PrefilledPrompt prefill(RegisteredEndpoint engine)
