Count the memory of generations while they run

Cause: memory was counted when a generation ended, its prefill at once, so a burst after a pause looked like prefill alone.

Change: memory is counted every 500 ms of a stream. A demand below 0.3 of the engines leaves the share as it is, since both roles have room then.

--- a/core/src/main/java/org/banyanstile/core/placement/DemandBalance.java
+++ b/core/src/main/java/org/banyanstile/core/placement/DemandBalance.java
@@ -78,8 +78,8 @@
 	 * @return the role changes, empty if the roles are balanced
 	 */
 	public List<RoleChange> plan(@Nullable RoleDemand demand, long memoryTokens) {
-		double share = (demand != null) ? demand.prefillShare(memoryTokens) : RoleBalance.PREFILL_SHARE;
 		int count = this.engines.size() + this.absent.size();
+		double share = (demand != null) ? demand.prefillShare(memoryTokens, count) : RoleBalance.PREFILL_SHARE;
 		int prefill = RoleBalance.prefillEngines(this.engines, this.changing)
 				+ RoleBalance.prefillEngines(this.absent, this.changing);
 		double wanted = share * count;
--- a/core/src/main/java/org/banyanstile/core/placement/RoleDemand.java
+++ b/core/src/main/java/org/banyanstile/core/placement/RoleDemand.java
@@ -22,9 +22,10 @@
 	static final double MEMORY_USE = 0.9;
 
 	/**
-	 * Engines below which the demand says nothing about the share of prefill.
+	 * Part of the engines below which the demand does not change the share of prefill:
+	 * both roles have room then, and a role change takes an engine out of service.
 	 */
-	static final double MIN_ENGINES = 1;
+	static final double MIN_LOAD = 0.3;
 
 	static final double MIN_SHARE = 0.1;
 
@@ -34,12 +35,13 @@
 	 * Returns the share of engines that should prefill. If there are more or fewer
 	 * engines than needed, both roles have the same part of what they need.
 	 * @param memoryTokens tokens that fit into the memory of an engine
+	 * @param engines number of engines of the service
 	 * @return the share, above 0
 	 */
-	double prefillShare(long memoryTokens) {
+	double prefillShare(long memoryTokens, int engines) {
 		double prefill = this.prefillEngines / PREFILL_USE;
 		double decode = this.memoryTokens / (MEMORY_USE * Math.max(1, memoryTokens));
-		if (prefill + decode < MIN_ENGINES) {
+		if (prefill + decode < MIN_LOAD * engines) {
 			return RoleBalance.PREFILL_SHARE;
 		}
 		return Math.max(MIN_SHARE, Math.min(MAX_SHARE, prefill / (prefill + decode)));
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -72,6 +72,11 @@
 	 */
 	static final int NO_URGENCY = -1;
 
+	/**
+	 * Interval at which the memory of a running generation is recorded.
+	 */
+	private static final long MEMORY_RECORD_MILLIS = 500;
+
 	private final RouterServices services;
 
 	private final RouterCall call;
@@ -111,6 +116,11 @@
 	 */
 	private @Nullable DecodeReservation failoverReservation;
 
+	/**
+	 * Age of the request up to which the memory of its generation has been recorded.
+	 */
+	private long memoryRecordedMillis;
+
 	/**
 	 * Content type of the response that the caller receives.
 	 */
@@ -145,7 +155,7 @@
 			run();
 		}
 		finally {
-			recordMemory();
+			recordMemory(0);
 			this.crashGuard.close();
 			discardPrompt();
 			if (this.failoverReservation != null) {
@@ -200,11 +210,14 @@
 		fail(reason);
 	}
 
-	private void recordMemory() {
-		long firstEventMillis = this.timing.firstEventMillis();
-		if (firstEventMillis >= 0) {
-			this.services.observations()
-				.needed(this.call.service(), requiredTokens(), this.call.ageMillis() - firstEventMillis);
+	// A generation is counted while it runs: it lasts for seconds, and its prompt is
+	// counted at once.
+	private void recordMemory(long minMillis) {
+		long from = Math.max(this.timing.firstEventMillis(), this.memoryRecordedMillis);
+		long now = this.call.ageMillis();
+		if (this.timing.firstEventMillis() >= 0 && now - from >= minMillis) {
+			this.memoryRecordedMillis = now;
+			this.services.observations().needed(this.call.service(), requiredTokens(), now - from);
 		}
 	}
 
@@ -439,6 +452,7 @@
 		}
 		endPrefillAtDecodeEngine();
 		this.timing.eventsArrived(this.splitter.eventCount() - earlierEvents, this.call.ageMillis());
+		recordMemory(MEMORY_RECORD_MILLIS);
 		this.call.response().write(completeEvents);
 		return true;
 	}
