--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -72,6 +72,11 @@
 	 */
 	static final int NO_URGENCY = -1;
 
+	/**
+	 * Interval at which the memory of a running generation is recorded.
+	 */
+	private static final long MEMORY_RECORD_MILLIS = 500;
+
 	private final RouterServices services;
 
 	private final RouterCall call;
@@ -113,6 +118,11 @@
 	 */
 	private @Nullable DecodeReservation failoverReservation;
 
+	/**
+	 * Age of the request up to which the memory of its generation has been recorded.
+	 */
+	private long memoryRecordedMillis;
+
 	/**
 	 * Content type of the response that the caller receives.
 	 */
@@ -147,6 +157,7 @@
 			run();
 		}
 		finally {
+			recordMemory(0);
 			this.crashGuard.close();
 			discardPrompt();
 			if (this.failoverReservation != null) {
@@ -202,6 +213,17 @@
 		fail(reason);
 	}
 
+	// A generation is counted while it runs: it lasts for seconds, and its prompt is
+	// counted at once.
+	private void recordMemory(long minMillis) {
+		long from = Math.max(this.timing.firstEventMillis(), this.memoryRecordedMillis);
+		long now = this.call.ageMillis();
+		if (this.timing.firstEventMillis() >= 0 && now - from >= minMillis) {
+			this.memoryRecordedMillis = now;
+			this.services.observations().needed(this.call.service(), requiredTokens(), now - from);
+		}
+	}
+
 	// Without event ids another engine would repeat what the caller has received.
 	private boolean mayContinueElsewhere() {
 		return this.attempts.mayRetryAfterRun() && this.sequence.isResumable();
@@ -219,7 +241,14 @@
 			this.failoverReservation = null;
 			return reserved;
 		}
-		return releaseUnlessPermitted(reservations().awaitReservation());
+		long askedAtMillis = this.call.ageMillis();
+		try {
+			return releaseUnlessPermitted(reservations().awaitReservation());
+		}
+		finally {
+			this.services.observations()
+				.needed(this.call.service(), requiredTokens(), this.call.ageMillis() - askedAtMillis);
+		}
 	}
 
 	private @Nullable DecodeReservation releaseUnlessPermitted(DecodeReservation reservation) {
@@ -429,6 +458,7 @@
 		}
 		endPrefillAtDecodeEngine();
 		this.timing.eventsArrived(this.splitter.eventCount() - earlierEvents, this.call.ageMillis());
+		recordMemory(MEMORY_RECORD_MILLIS);
 		this.call.response().write(completeEvents);
 		return true;
 	}
@@ -438,6 +468,8 @@
 			this.prefillingReservation = reservation;
 			this.prefillBeganMillis = this.call.ageMillis();
 			this.services.loads().beginPrefill(reservation.engine().id(), this.call.fields().promptTokens());
+			this.services.observations()
+				.prefill(this.call.service(), reservation.engine().id(), this.call.fields().promptTokens());
 		}
 	}
 
@@ -450,6 +482,9 @@
 	}
 
 	private void recordComplete(RegisteredEndpoint engine) {
+		this.services.observations()
+			.streamed(engine.id(), this.timing.events() - 1,
+					this.timing.lastEventMillis() - this.timing.firstEventMillis());
 		this.services.metrics().longestPause(this.call.route().kind().name(), this.timing.longestPauseMillis());
 		this.attempts.log(engine, "complete",
 				this.splitter.eventCount() + " events, the first after " + this.timing.firstEventMillis()
--- a/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
+++ b/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
@@ -69,8 +69,7 @@
 				return null;
 			}
 			if (engine == null) {
-				engine = this.services.picker()
-					.leastTokens(engines, tried, reservation.engine().dataCentre(), System.nanoTime());
+				engine = pickEngine(engines, tried, reservation.engine().dataCentre());
 				if (engine == null || !usesPrefillEngine(engine, reservation.engine())) {
 					return null;
 				}
@@ -106,6 +105,22 @@
 		return null;
 	}
 
+	private @Nullable RegisteredEndpoint pickEngine(List<RegisteredEndpoint> engines, Set<String> tried,
+			String dataCentre) {
+		long now = System.nanoTime();
+		if (!this.services.fleetAdmission()) {
+			return this.services.picker().leastTokens(engines, tried, dataCentre, now);
+		}
+		return this.services.picker()
+			.earliestEnd(engines, tried, dataCentre, this.call.fields().promptTokens(),
+					this.services.observations().speeds(), now);
+	}
+
+	private double tokensPerMilli(RegisteredEndpoint engine) {
+		return this.services.fleetAdmission() ? this.services.observations().speeds().of(engine.id())
+				: this.services.prefillSpeeds().tokensPerMilli(engine.id());
+	}
+
 	private void recordLoss(RegisteredEndpoint engine, UnknownOutcomeException ex) {
 		if (ex.isConnectionBroken()) {
 			this.crashGuard.connectionBroken(engine);
@@ -121,7 +136,7 @@
 		PrefillPlacement.DecodeEngine decode = new PrefillPlacement.DecodeEngine(
 				loads.total(decodeEngine.id()).requests() - 1, loads.prefillTokens(decodeEngine.id()));
 		return PrefillPlacement.usesPrefillEngine(prompt, loads.total(prefillEngine.id()).tokens(),
-				this.services.prefillSpeeds().tokensPerMilli(prefillEngine.id()), decode);
+				tokensPerMilli(prefillEngine), decode);
 	}
 
 	private static @Nullable RegisteredEndpoint scheduledEngine(List<RegisteredEndpoint> engines, Set<String> tried,
@@ -137,6 +152,7 @@
 			throws NotRunException, UnknownOutcomeException, HttpException {
 		long tokens = Math.max(1, this.call.fields().promptTokens());
 		long startNanos = System.nanoTime();
+		long queuedTokens = this.services.loads().total(engine.id()).tokens();
 		this.services.loads().begin(engine.id(), tokens);
 		EndpointFields fields = new EndpointFields(engine.id(), this.call.team(), this.call.endpointTimeoutMillis(),
 				true, null, null, GenerationRun.NO_URGENCY, null);
@@ -156,6 +172,7 @@
 			}
 			this.services.prefillSpeeds().prefilled(engine.id(), tokens, millis);
 			reservation.prefilled(engine.id(), millis);
+			this.services.observations().prefilled(this.call.service(), engine.id(), tokens, queuedTokens, millis);
 			this.attempts.log(engine, "prefilled", "in " + millis + " ms");
 			return new PrefilledPrompt(engine, handle, this.services.engineCalls().cacheSource(engine, handle),
 					System.nanoTime());
