Refuse responses of endpoints whose framing is malformed

Cause: Undertow's client takes a chunk size without digits for 0 and does not compare the fields that delimit a body. Callers saw a 200 with a new Content-Length and a body that is not the endpoint's, and a stream that broke with an error in place of a chunk looked complete (the known-red test).

Change: ResponseFraming checks the bytes of a connection by RFC 9112 below Undertow's parser, which gets no byte from the first fault on; the next read fails with MalformedResponseException, a ConnectionBrokenException, so the outcome is unknown and EndpointHealth counts a failure. The end of a body that the parser reports counts only if the check agrees. Bytes after a complete response end the connection; the response stays whole. A refusal ("not run") whose body has malformed framing is an unknown outcome. A 304 with a content length ends with its head; the old client waited for the body until the timeout.

--- a/io/src/main/java/org/banyanstile/io/http/ConnectionBrokenException.java
+++ b/io/src/main/java/org/banyanstile/io/http/ConnectionBrokenException.java
@@ -7,7 +7,7 @@
  *
  * @author banyanstile contributors
  */
-public final class ConnectionBrokenException extends HttpException {
+public sealed class ConnectionBrokenException extends HttpException permits MalformedResponseException {
 
 	private static final long serialVersionUID = 1L;
 
--- a/io/src/main/java/org/banyanstile/io/http/CountingIoThread.java
+++ b/io/src/main/java/org/banyanstile/io/http/CountingIoThread.java
@@ -11,9 +11,9 @@
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
- * Opens a connection on another I/O thread and counts the bytes that it receives.
- * Undertow's client opens its sockets itself and offers no other place below its parser.
- * This thread never runs.
+ * Opens a connection on another I/O thread, counts the bytes that it receives and checks
+ * their framing. Undertow's client opens its sockets itself and offers no other place
+ * below its parser. This thread never runs.
  *
  * @author banyanstile contributors
  */
@@ -23,10 +23,13 @@
 
 	private final ResponseOverhead overhead;
 
-	CountingIoThread(XnioIoThread thread, ResponseOverhead overhead) {
+	private final ResponseFraming framing;
+
+	CountingIoThread(XnioIoThread thread, ResponseOverhead overhead, ResponseFraming framing) {
 		super(thread.getWorker(), thread.getNumber());
 		this.thread = thread;
 		this.overhead = overhead;
+		this.framing = framing;
 	}
 
 	@Override
@@ -34,7 +37,8 @@
 			ChannelListener<? super StreamConnection> listener, OptionMap options) {
 		return this.thread.openStreamConnection(destination, (connection) -> {
 			ConduitStreamSourceChannel source = connection.getSourceChannel();
-			source.setConduit(new CountedSource(source.getConduit(), this.overhead));
+			CountedSource counted = new CountedSource(source.getConduit(), this.overhead);
+			source.setConduit(new CheckedSource(counted, this.framing));
 			listener.handleEvent(connection);
 		}, options);
 	}
--- a/io/src/main/java/org/banyanstile/io/http/HttpClient.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpClient.java
@@ -112,7 +112,7 @@
 			return response;
 		}
 		catch (IOException ex) {
-			throw new ConnectionBrokenException("connection to " + request.address() + " broke", ex);
+			throw FramingException.toHttpException(request.address(), ex);
 		}
 		finally {
 			if (!done) {
@@ -179,7 +179,7 @@
 					request.address() + " sent no response for " + request.timeout().toMillis() + " ms", ex);
 		}
 		catch (ExecutionException ex) {
-			throw new ConnectionBrokenException("connection to " + request.address() + " broke", ex.getCause());
+			throw FramingException.toHttpException(request.address(), ex.getCause());
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -218,7 +218,9 @@
 
 	private HttpConnection connect(String address, Duration timeout) throws ConnectFailedException {
 		ResponseOverhead overhead = new ResponseOverhead();
-		IoFuture<ClientConnection> future = open(address, overhead);
+		ResponseFraming framing = new ResponseFraming();
+		IoFuture<ClientConnection> future = open(address,
+				new CountingIoThread(this.worker.getIoThread(), overhead, framing));
 		if (future.await(timeout.toMillis(), TimeUnit.MILLISECONDS) != IoFuture.Status.DONE) {
 			future.cancel();
 			// The connection can be established between the timeout and the
@@ -227,18 +229,16 @@
 			throw new ConnectFailedException("no connection to " + address, failure(future));
 		}
 		try {
-			return new HttpConnection(future.get(), overhead);
+			return new HttpConnection(future.get(), overhead, framing);
 		}
 		catch (IOException ex) {
 			throw new ConnectFailedException("no connection to " + address, ex);
 		}
 	}
 
-	private IoFuture<ClientConnection> open(String address, ResponseOverhead overhead) throws ConnectFailedException {
+	private IoFuture<ClientConnection> open(String address, CountingIoThread thread) throws ConnectFailedException {
 		try {
-			return UndertowClient.getInstance()
-				.connect(uri(address), new CountingIoThread(this.worker.getIoThread(), overhead), this.buffers,
-						OptionMap.EMPTY);
+			return UndertowClient.getInstance().connect(uri(address), thread, this.buffers, OptionMap.EMPTY);
 		}
 		catch (IllegalArgumentException ex) {
 			throw new ConnectFailedException("no connection to " + address + ", which is not a usable address", ex);
--- a/io/src/main/java/org/banyanstile/io/http/HttpConnection.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpConnection.java
@@ -1,5 +1,6 @@
 package org.banyanstile.io.http;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.util.concurrent.RejectedExecutionException;
 
@@ -22,13 +23,18 @@
 
 	private final ResponseOverhead overhead;
 
+	private final ResponseFraming framing;
+
 	private volatile boolean aborted;
 
+	private volatile boolean parserWaits;
+
 	private volatile int exchanges;
 
-	HttpConnection(ClientConnection connection, ResponseOverhead overhead) {
+	HttpConnection(ClientConnection connection, ResponseOverhead overhead, ResponseFraming framing) {
 		this.connection = connection;
 		this.overhead = overhead;
+		this.framing = framing;
 	}
 
 	ResponseOverhead overhead() {
@@ -51,6 +57,7 @@
 	 */
 	void send(ClientRequest head, ClientCallback<ClientExchange> callback) {
 		this.overhead.reset();
+		this.framing.begin(head.getMethod().toString());
 		this.exchanges = this.exchanges + 1;
 		this.connection.sendRequest(head, callback);
 	}
@@ -64,7 +71,26 @@
 	}
 
 	boolean isReusable() {
-		return !this.aborted && this.connection.isOpen();
+		return !this.aborted && !this.parserWaits && this.framing.fault() == null && this.connection.isOpen();
+	}
+
+	/**
+	 * Returns whether a read has reached the end of the response. Must be called on the
+	 * I/O thread.
+	 * @param n number of bytes that were read, -1 if the parser found the end
+	 * @return whether it has
+	 * @throws IOException if more bytes of the response are due by its framing
+	 */
+	boolean isEnd(int n) throws IOException {
+		if (n < 0 && !this.framing.isComplete()) {
+			throw new EOFException("the response ended inside its framing");
+		}
+		if (n == 0 && this.framing.isCompleteWithoutBody()) {
+			// Undertow waits for a body of the content length of a response with status
+			// 304.
+			this.parserWaits = true;
+		}
+		return n < 0 || this.parserWaits;
 	}
 
 	boolean isAborted() {
--- a/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
+++ b/io/src/main/java/org/banyanstile/io/http/HttpResponse.java
@@ -311,7 +311,7 @@
 			return !this.ended;
 		}
 		catch (IOException ex) {
-			throw new ConnectionBrokenException("connection to " + this.address + " broke", ex);
+			throw FramingException.toHttpException(this.address, ex);
 		}
 		finally {
 			this.buffer.flip();
--- a/io/src/main/java/org/banyanstile/io/http/ResponseReader.java
+++ b/io/src/main/java/org/banyanstile/io/http/ResponseReader.java
@@ -67,7 +67,7 @@
 			if (n < 0 && this.connection.isAborted()) {
 				throw new ClosedChannelException();
 			}
-			this.ended = n < 0;
+			this.ended = this.connection.isEnd(n);
 			this.paused = !this.ended && !this.received.hasRemaining();
 			if (this.ended || this.paused) {
 				source.suspendReads();
--- a/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
+++ b/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
@@ -12,6 +12,7 @@
 import org.banyanstile.io.http.HttpException;
 import org.banyanstile.io.http.HttpRequest;
 import org.banyanstile.io.http.HttpResponse;
+import org.banyanstile.io.http.MalformedResponseException;
 
 /**
  * Forwards requests to endpoints and distinguishes requests that certainly did not run
@@ -88,7 +89,7 @@
 	}
 
 	private HttpResponse checked(RouterCall call, RegisteredEndpoint endpoint, HttpResponse response,
-			boolean prefillOnly) throws NotRunException, UnknownOutcomeException {
+			boolean prefillOnly) throws NotRunException, UnknownOutcomeException, MalformedResponseException {
 		ResponseFields fields = this.protocol.responseFields(response.status(), response::header);
 		boolean refused = fields.notRun() || response.status() == MISDIRECTED;
 		if (refused) {
@@ -112,14 +113,14 @@
 	// Returns the proof that the request did not run.
 	// @throws UnknownOutcomeException if the response may belong to another request
 	private NotRunException refusal(RouterCall call, RegisteredEndpoint endpoint, HttpResponse response,
-			ResponseFields fields) throws UnknownOutcomeException {
+			ResponseFields fields) throws UnknownOutcomeException, MalformedResponseException {
 		Refusal refusal = new Refusal(response.status(), call.id(), fields.attemptId(), response.exchangeNumber());
 		if (!refusal.isProof()) {
 			throw foreignResponse(endpoint, response, fields);
 		}
 		if (response.status() == MISDIRECTED) {
-			this.health.replaced(endpoint.id(), System.nanoTime());
 			drainRefusal(response);
+			this.health.replaced(endpoint.id(), System.nanoTime());
 			return NotRunException.refused("another instance responds at " + endpoint.address(), refusal);
 		}
 		recordLimit(endpoint, fields.requestsPerSecond());
@@ -147,11 +148,15 @@
 		}
 	}
 
-	private static void drainRefusal(HttpResponse response) {
+	// @throws MalformedResponseException if the refusal proves nothing
+	private static void drainRefusal(HttpResponse response) throws MalformedResponseException {
 		try {
 			response.setReadTimeout(Duration.ofMillis(100));
 			response.drain(MAX_REFUSAL_BYTES);
 		}
+		catch (MalformedResponseException ex) {
+			throw ex;
+		}
 		catch (HttpException ex) {
 			// If the body of a refusal does not end in time, the connection is not
 			// reused.
