Count responses that were refused for their framing

Cause: malformed responses were told from broken connections by the reason of the log line only.

Control calls and banyanstiled are not counted.

Measured: MalformedResponseTests, 6 tests: an order whose response has malformed framing gets 502, reaches one of two endpoints once and is counted, also where it is a refusal whose body is malformed. BodyMemoryTests pass.

--- a/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
+++ b/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
@@ -40,13 +40,16 @@
 
 	private final DecisionLog log;
 
+	private final RouterMetrics metrics;
+
 	EndpointClient(HttpClient client, RequestProtocol protocol, EndpointHealth health, EndpointLimits limits,
-			DecisionLog log) {
+			DecisionLog log, RouterMetrics metrics) {
 		this.client = client;
 		this.protocol = protocol;
 		this.health = health;
 		this.limits = limits;
 		this.log = log;
+		this.metrics = metrics;
 	}
 
 	/**
@@ -81,6 +84,7 @@
 			throw NotRunException.notSent(String.valueOf(ex.getMessage()));
 		}
 		catch (HttpException ex) {
+			this.metrics.exchangeFailed(endpoint.id(), ex);
 			if (!call.isCancelledOrTimedOut()) {
 				this.health.unreachable(endpoint.id(), now);
 			}
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -334,6 +334,7 @@
 		}
 		catch (HttpException | StreamMismatchException ex) {
 			this.splitter.resume();
+			this.services.metrics().exchangeFailed(engine.id(), ex);
 			if (ex instanceof BodyMemoryException) {
 				this.services.metrics().bodyRejected("response");
 			}
--- a/server/src/main/java/org/banyanstile/server/router/PlainRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/PlainRun.java
@@ -172,6 +172,7 @@
 		}
 		catch (HttpException ex) {
 			lease.close();
+			this.services.metrics().exchangeFailed(endpoint.id(), ex);
 			if (ex instanceof BodyMemoryException) {
 				this.services.metrics().bodyRejected("response");
 			}
--- a/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
+++ b/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
@@ -93,6 +93,7 @@
 			}
 			catch (HttpException ex) {
 				retry = true;
+				this.services.metrics().exchangeFailed(engine.id(), ex);
 				resends.end(engine.id(), "none, the prompt may be prefilled: " + ex.getMessage());
 				recordLoss(engine, UnknownOutcomeException.of(ex));
 			}
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -144,12 +144,13 @@
 		LocalGossipState localState = new LocalGossipState(view, loads, quotas, roleChanges, limits, quarantine,
 				shutdown, ticker, log);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+		RouterMetrics metrics = new RouterMetrics(registry);
 		RouterServices services = new RouterServices(settings, view, roleChanges, platform.requests(),
 				platform.engines(), loads, health, EndpointPicker.create(loads, health, new Random()),
-				new EndpointClient(platform.client(), platform.requests(), health, limits, log), limits,
+				new EndpointClient(platform.client(), platform.requests(), health, limits, log, metrics), limits,
 				(key) -> membership.position(key, ticker.nanos()), quarantine,
 				TrialLock.of((rows) -> writeTrials(platform.source(), rows)), () -> registration.others().size() + 1,
-				bodies, log, registry);
+				bodies, log, metrics);
 		RequestIntake intake = new RequestIntake(services, quotas, shutdown);
 		RouterServer server = new RouterServer(services, intake, platform.directory(),
 				() -> callerAddresses(membership, shutdown, ticker), shutdown);
--- a/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
@@ -18,6 +18,7 @@
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.limit.BodyBudget;
+import org.banyanstile.io.http.MalformedResponseException;
 
 /**
  * Counters and histograms of the request path.
@@ -104,6 +105,20 @@
 		return this.registry.counter("banyanstile_body_rejections_total", "kind", kind);
 	}
 
+	/**
+	 * Counts a response that was refused for its framing. Other failures do not count.
+	 * @param endpoint the endpoint that sent it
+	 * @param failure the failure of the exchange
+	 */
+	void exchangeFailed(String endpoint, Throwable failure) {
+		if (failure instanceof MalformedResponseException malformed) {
+			this.registry
+				.counter("banyanstile_malformed_responses_total", "endpoint", endpoint, "fault",
+						malformed.fault().label())
+				.increment();
+		}
+	}
+
 	/**
 	 * Records the outcome of a request and its latency.
 	 * @param kind kind of the route
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntSupplier;
 
-import io.micrometer.core.instrument.MeterRegistry;
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.catalog.ServedService;
@@ -87,7 +86,7 @@
 	RouterServices(RouterSettings settings, FleetView view, RoleChanges roleChanges, RequestProtocol protocol,
 			EngineCalls engineCalls, EndpointLoads loads, EndpointHealth health, EndpointPicker picker,
 			EndpointClient client, EndpointLimits limits, FleetPosition position, CrashQuarantine quarantine,
-			TrialLock trialLock, IntSupplier vmCount, BodyBudget bodies, DecisionLog log, MeterRegistry registry) {
+			TrialLock trialLock, IntSupplier vmCount, BodyBudget bodies, DecisionLog log, RouterMetrics metrics) {
 		this.settings = settings;
 		this.view = view;
 		this.roleChanges = roleChanges;
@@ -104,7 +103,7 @@
 		this.vmCount = vmCount;
 		this.bodies = bodies;
 		this.log = log;
-		this.metrics = new RouterMetrics(registry);
+		this.metrics = metrics;
 		this.metrics.bindSuppressedLines(log);
 		this.metrics.bindBodies(bodies);
 		this.firstRequests = FirstRequests.create(this.metrics::firstRequest);
