--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -157,12 +157,13 @@
 		EndpointLimits limits = new EndpointLimits();
 		CrashQuarantine quarantine = CrashQuarantine.create();
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+		RouterMetrics metrics = new RouterMetrics(registry);
 		RouterServices services = new RouterServices(settings, view, roleChanges, platform.requests(),
 				platform.engines(), loads, health, EndpointPicker.create(loads, health, new Random()),
-				new EndpointClient(platform.client(), platform.requests(), health, limits, log), limits,
+				new EndpointClient(platform.client(), platform.requests(), health, limits, log, metrics), limits,
 				(key) -> membership.position(key, ticker.nanos()), quarantine,
 				TrialLock.of((rows) -> writeTrials(platform.source(), rows)),
-				(key) -> FleetPosition.among(key, settings.vm(), registration.others()), bodies, log, registry);
+				(key) -> FleetPosition.among(key, settings.vm(), registration.others()), bodies, log, metrics);
 		SchedulerNode scheduler = startScheduler(settings, addresses, membership, services, ticker, registry, log);
 		LocalGossipState localState = new LocalGossipState(services, view, loads, quotas, roleChanges, limits,
 				quarantine, shutdown, ticker, log);
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-import io.micrometer.core.instrument.MeterRegistry;
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.catalog.ServedService;
@@ -93,7 +92,7 @@
 			EngineCalls engineCalls, EndpointLoads loads, EndpointHealth health, EndpointPicker picker,
 			EndpointClient client, EndpointLimits limits, FleetPosition position, CrashQuarantine quarantine,
 			TrialLock trialLock, FleetPosition registeredPosition, BodyBudget bodies, DecisionLog log,
-			MeterRegistry registry) {
+			RouterMetrics metrics) {
 		this.settings = settings;
 		this.view = view;
 		this.roleChanges = roleChanges;
@@ -110,7 +109,7 @@
 		this.registeredPosition = registeredPosition;
 		this.bodies = bodies;
 		this.log = log;
-		this.metrics = new RouterMetrics(registry);
+		this.metrics = metrics;
 		this.metrics.bindSuppressedLines(log);
 		this.metrics.bindBodies(bodies);
 		this.firstRequests = FirstRequests.create(this.metrics::firstRequest);
