Roll out service versions by stages

The operator can request that the traffic of a service moves to another version; routers did not read the request and sent requests to endpoints of any version alike.

Routers read op/rollout/SERVICE, follow a stage that one VM decides and writes under a condition, split requests by version, count outcomes by route and version, and exchange evidence and stages in a gossip message of its own while there is a rollout.

--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -19,11 +19,13 @@
 import org.banyanstile.core.replica.ReplicaRow;
 import org.banyanstile.io.frame.Message;
 import org.banyanstile.io.frame.MessageCodec;
+import org.banyanstile.server.canary.Rollouts;
 import org.banyanstile.server.router.DecisionLog;
 import org.banyanstile.server.view.FleetTable;
 import org.banyanstile.server.view.FleetView;
 import org.banyanstile.server.view.TableRead;
 import org.banyanstile.server.vm.Addresses;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Exchanges state with other VMs by datagrams: with some of them in each round, and with
@@ -54,6 +56,11 @@
 
 	private static final int MAX_DATAGRAM_BYTES = 60_000;
 
+	/**
+	 * Live VMs of the lowest names that receive all reports on rollouts.
+	 */
+	private static final int DECIDING_VMS = 3;
+
 	private static final int TABLE_COUNT = FleetTable.values().length;
 
 	private final DatagramChannel channel;
@@ -80,6 +87,8 @@
 
 	private volatile Set<String> registered = Set.of();
 
+	private volatile @Nullable Rollouts rollouts;
+
 	private volatile boolean closed;
 
 	private GossipNode(DatagramChannel channel, Membership membership, FleetView view, LocalState local, Ticker ticker,
@@ -143,7 +152,10 @@
 			.registerNested(GossipLimit.class)
 			.registerNested(GossipRow.class)
 			.register(GossipRows.class)
-			.register(GossipState.class);
+			.register(GossipState.class)
+			.registerNested(GossipRouteOutcomes.class)
+			.registerNested(GossipRollout.class)
+			.register(GossipRollouts.class);
 	}
 
 	/**
@@ -162,6 +174,41 @@
 		this.registered = Set.copyOf(addresses);
 	}
 
+	/**
+	 * Sets the rollouts that are exchanged while there are any.
+	 * @param rollouts the rollouts
+	 */
+	public void setRollouts(Rollouts rollouts) {
+		this.rollouts = rollouts;
+	}
+
+	/**
+	 * Sends the reports on rollouts to all known VMs at once.
+	 */
+	public void announceRollouts() {
+		sendRollouts(allAddresses());
+	}
+
+	// The VMs of the lowest names receive all reports in each round, since they decide.
+	private void sendRollouts(Collection<String> targets) {
+		GossipRollouts message = RolloutExchange.message(this.membership.self(), this.rollouts);
+		if (message == null) {
+			return;
+		}
+		Set<String> receivers = new LinkedHashSet<>(targets);
+		this.membership.alivePeers(this.ticker.nanos())
+			.stream()
+			.limit(DECIDING_VMS)
+			.forEach((member) -> receivers.add(member.peerAddress()));
+		try {
+			ByteBuffer datagram = ByteBuffer.wrap(this.codec.encode(new Message(Message.ONE_WAY, message)));
+			receivers.forEach((target) -> sendTo(target, datagram.duplicate()));
+		}
+		catch (IOException ex) {
+			this.log.problem("cannot encode the reports on rollouts", ex);
+		}
+	}
+
 	/**
 	 * Sends the state to all known VMs at once.
 	 */
@@ -176,6 +223,7 @@
 			Set<String> all = allAddresses();
 			List<String> targets = this.rotation.next(all);
 			long heartbeat = this.membership.self().heartbeat();
+			sendRollouts(targets);
 			if (targets.size() == all.size()) {
 				send(targets, heartbeat % ROUNDS_PER_MEMBER_LIST == 0);
 				return;
@@ -284,6 +332,9 @@
 		else if (payload instanceof GossipRows rows) {
 			receive(rows);
 		}
+		else if (payload instanceof GossipRollouts message) {
+			RolloutExchange.receive(message, this.rollouts);
+		}
 	}
 
 	private void receive(GossipState state, SocketAddress sender) throws IOException {
--- a/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.function.Predicate;
 
-import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.EngineTraits;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.placement.AdmissionQueue;
@@ -126,10 +125,7 @@
 	}
 
 	private @Nullable DecodeReservation tryReserve(Predicate<RegisteredEndpoint> candidate, boolean late) {
-		List<RegisteredEndpoint> engines = this.services.engines(this.call.service(), EndpointRole.DECODE)
-			.stream()
-			.filter(candidate)
-			.toList();
+		List<RegisteredEndpoint> engines = this.services.decodeEngines(this.call).stream().filter(candidate).toList();
 		List<RegisteredEndpoint> ordered = this.services.picker()
 			.mostFreeMemory(engines, this.traits.memoryTokens(), this.tokens, System.nanoTime());
 		int asked = 0;
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -14,6 +14,7 @@
 import org.banyanstile.io.http.HttpException;
 import org.banyanstile.io.http.HttpResponse;
 import org.banyanstile.io.http.ResponseTimeoutException;
+import org.banyanstile.server.canary.RunOutcome;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -111,6 +112,8 @@
 	 */
 	private @Nullable DecodeReservation failoverReservation;
 
+	private long attemptStartMillis;
+
 	/**
 	 * Content type of the response that the caller receives.
 	 */
@@ -280,6 +283,7 @@
 	private void preparePrompt(DecodeReservation reservation) {
 		PrefilledPrompt kept = this.prefilledPrompt;
 		if (kept != null && this.promptRefusals < MAX_PROMPT_REFUSALS
+				&& this.services.rollouts().mayShareCache(kept.engine(), reservation.engine())
 				&& kept.isUsable(this.traits.handleMillis(), System.nanoTime())) {
 			return;
 		}
@@ -314,6 +318,7 @@
 		Duration responseTimeout = Duration.ofMillis(Math.max(1, this.call.remainingMillis()));
 		int earlierEvents = this.splitter.eventCount();
 		this.attempts.beginAttempt(engine);
+		this.attemptStartMillis = this.call.ageMillis();
 		beginPrefillAtDecodeEngine(engine, offered == null);
 		try (HttpResponse response = this.services.client()
 			.send(this.call, engine, fields, MAX_POOLED_IDLE, responseTimeout)) {
@@ -328,6 +333,7 @@
 				relay(response, engine, lease);
 			}
 			this.services.health().answered(engine.id(), 0, false, System.nanoTime());
+			recordEnd(engine, RunOutcome.ANSWERED);
 			this.call.response().end();
 			recordComplete(engine);
 			return true;
@@ -339,6 +345,7 @@
 			}
 			if (!this.call.isCancelledOrTimedOut()) {
 				this.services.health().unreachable(engine.id(), System.nanoTime());
+				recordEnd(engine, RunOutcome.BROKEN);
 			}
 			if (ex instanceof ConnectionBrokenException) {
 				this.crashGuard.connectionBroken(engine);
@@ -373,7 +380,12 @@
 		long progressAt = this.call.ageMillis();
 		ByteBuffer bytes = next(response, engine);
 		while (bytes != null) {
+			boolean first = this.splitter.eventCount() == earlierEvents;
 			boolean forwarded = forwardEvents(bytes);
+			if (first && forwarded) {
+				this.services.rollouts()
+					.began(engine, this.call.route().name(), this.call.ageMillis() - this.attemptStartMillis);
+			}
 			if (this.splitter.isOutOfSequence()) {
 				throw new StreamMismatchException(
 						engine.id() + " sent an event that does not follow event " + this.splitter.lastEventId());
@@ -480,6 +492,7 @@
 		try (BodyBudget.Lease lease = this.services.bodies().response(engine.id())) {
 			BodyChunks body = response.body(MAX_FAILURE_BYTES, lease::tryAcquire);
 			this.services.health().answered(engine.id(), 0, response.status() >= SERVER_ERROR, System.nanoTime());
+			recordEnd(engine, (response.status() >= SERVER_ERROR) ? RunOutcome.FAILED : RunOutcome.ANSWERED);
 			this.attempts.log(engine, Integer.toString(response.status()), "");
 			if (this.call.response().isStarted()
 					|| (response.status() >= SERVER_ERROR && this.attempts.mayRetryAfterRun())) {
@@ -490,6 +503,11 @@
 		}
 	}
 
+	private void recordEnd(RegisteredEndpoint engine, RunOutcome outcome) {
+		this.services.rollouts()
+			.ended(engine, this.call.route().name(), outcome, this.call.ageMillis() - this.attemptStartMillis);
+	}
+
 	private void releaseReservation(DecodeReservation reservation) {
 		try {
 			this.services.engineCalls().releaseReservation(reservation.engine(), reservation.id());
--- a/server/src/main/java/org/banyanstile/server/router/PlainRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/PlainRun.java
@@ -8,13 +8,13 @@
 import java.util.Map;
 import java.util.Set;
 
-import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.limit.BodyBudget;
 import org.banyanstile.io.http.BodyChunks;
 import org.banyanstile.io.http.BodyMemoryException;
 import org.banyanstile.io.http.HttpException;
 import org.banyanstile.io.http.HttpResponse;
+import org.banyanstile.server.canary.RunOutcome;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -134,8 +134,13 @@
 	}
 
 	private @Nullable RegisteredEndpoint pickEndpoint() {
-		List<RegisteredEndpoint> candidates = new ArrayList<>(
-				this.services.view().snapshot().usable(this.call.service(), EndpointRole.PLAIN));
+		RegisteredEndpoint endpoint = pickEndpoint(this.services.endpoints(this.call));
+		return (endpoint == null && this.call.versions().fallBack()) ? pickEndpoint(this.services.endpoints(this.call))
+				: endpoint;
+	}
+
+	private @Nullable RegisteredEndpoint pickEndpoint(List<RegisteredEndpoint> usable) {
+		List<RegisteredEndpoint> candidates = new ArrayList<>(usable);
 		while (!candidates.isEmpty()) {
 			RegisteredEndpoint endpoint = this.services.picker().fastest(candidates, this.tried, System.nanoTime());
 			if (endpoint == null || (this.tried.contains(endpoint.id()) && !this.attempts.hasRun())) {
@@ -167,6 +172,9 @@
 			long millis = (System.nanoTime() - startNanos) / 1_000_000;
 			this.services.health()
 				.answered(endpoint.id(), millis, buffered.status() >= SERVER_ERROR, System.nanoTime());
+			this.services.rollouts()
+				.ended(endpoint, this.call.route().name(),
+						(buffered.status() >= SERVER_ERROR) ? RunOutcome.FAILED : RunOutcome.ANSWERED, millis);
 			this.attempts.log(endpoint, Integer.toString(buffered.status()), "");
 			return buffered;
 		}
@@ -177,6 +185,7 @@
 			}
 			if (!this.call.isCancelledOrTimedOut()) {
 				this.services.health().unreachable(endpoint.id(), System.nanoTime());
+				this.services.rollouts().ended(endpoint, this.call.route().name(), RunOutcome.BROKEN, 0);
 			}
 			throw UnknownOutcomeException.of(ex);
 		}
--- a/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
+++ b/server/src/main/java/org/banyanstile/server/router/PromptPrefill.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Set;
 
-import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.limit.BodyBudget;
 import org.banyanstile.core.placement.EndpointLoads;
@@ -63,7 +62,7 @@
 				this.call.route().isRetryable(), this.call::ageMillis);
 		for (int i = 0; i < MAX_PREFILL_ATTEMPTS && !this.call.isCancelledOrTimedOut()
 				&& !this.crashGuard.isRefused(); i++) {
-			List<RegisteredEndpoint> engines = this.services.engines(this.call.service(), EndpointRole.PREFILL);
+			List<RegisteredEndpoint> engines = this.services.prefillEngines(this.call, reservation.engine());
 			RegisteredEndpoint engine = this.services.picker()
 				.leastTokens(engines, tried, reservation.engine().dataCentre(), System.nanoTime());
 			if (engine == null || !usesPrefillEngine(engine, reservation.engine())) {
--- a/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
+++ b/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
@@ -326,7 +326,8 @@
 		if (service == null) {
 			throw RejectionException.notRun("the service of the route is not configured", RETRY_AFTER_SECONDS);
 		}
-		RouterCall call = new RouterCall(exchange, connection, fields, route, name, team, body, arrivalNanos, response);
+		RouterCall call = new RouterCall(exchange, connection, fields, route, name,
+				this.services.rollouts().assign(name), team, body, arrivalNanos, response);
 		if (!this.shutdown.accepts(call.remainingMillis(), likelyMillis(call))) {
 			throw RejectionException.shuttingDown();
 		}
--- a/server/src/main/java/org/banyanstile/server/router/RoleController.java
+++ b/server/src/main/java/org/banyanstile/server/router/RoleController.java
@@ -1,5 +1,6 @@
 package org.banyanstile.server.router;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -10,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.EndpointRole;
@@ -68,6 +70,8 @@
 
 	private final RoleChanges roleChanges;
 
+	private final Predicate<RegisteredEndpoint> isNewVersion;
+
 	private final BooleanSupplier isEligible;
 
 	private final DecisionLog log;
@@ -98,13 +102,15 @@
 	private long knownIdsSinceNanos;
 
 	RoleController(String vm, FleetView view, TableSource store, EngineCalls engineCalls, EndpointLoads loads,
-			RoleChanges roleChanges, BooleanSupplier isEligible, DecisionLog log) {
+			RoleChanges roleChanges, Predicate<RegisteredEndpoint> isNewVersion, BooleanSupplier isEligible,
+			DecisionLog log) {
 		this.vm = vm;
 		this.view = view;
 		this.store = store;
 		this.engineCalls = engineCalls;
 		this.loads = loads;
 		this.roleChanges = roleChanges;
+		this.isNewVersion = isNewVersion;
 		this.isEligible = isEligible;
 		this.log = log;
 		this.ownership = RoleChangeOwnership.of(vm);
@@ -195,7 +201,12 @@
 		Map<String, EndpointRole> pending = new HashMap<>();
 		this.roleChanges.pending(now).forEach((change) -> pending.put(change.endpoint(), change.role()));
 		this.issuedOrders.forEach((id, order) -> pending.put(id, order.role()));
-		return RoleBalance.plan(usable, absent, pending, (id) -> this.loads.total(id).tokens());
+		List<RoleBalance.RoleChange> changes = new ArrayList<>();
+		for (Predicate<RegisteredEndpoint> version : List.of(this.isNewVersion.negate(), this.isNewVersion)) {
+			changes.addAll(RoleBalance.plan(usable.stream().filter(version).toList(),
+					absent.stream().filter(version).toList(), pending, (id) -> this.loads.total(id).tokens()));
+		}
+		return changes;
 	}
 
 	/**
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -8,7 +8,9 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -28,6 +30,8 @@
 import org.banyanstile.core.quarantine.TrialRow;
 import org.banyanstile.core.quarantine.TrialWrite;
 import org.banyanstile.io.http.HttpClient;
+import org.banyanstile.server.canary.RolloutController;
+import org.banyanstile.server.canary.Rollouts;
 import org.banyanstile.server.gossip.GossipCrashes;
 import org.banyanstile.server.gossip.GossipLimit;
 import org.banyanstile.server.gossip.GossipLoad;
@@ -79,11 +83,14 @@
 
 	private final RoleController roleController;
 
+	private final RolloutController rolloutController;
+
 	private final HttpClient client;
 
 	private Router(RouterServices services, TeamQuotas quotas, GracefulShutdown shutdown, DecisionLog log,
 			FleetReader reader, VmRegistration registration, GossipNode gossip, RequestIntake intake,
-			RouterServer server, RoleController roleController, HttpClient client) {
+			RouterServer server, RoleController roleController, RolloutController rolloutController,
+			HttpClient client) {
 		this.services = services;
 		this.quotas = quotas;
 		this.shutdown = shutdown;
@@ -94,6 +101,7 @@
 		this.intake = intake;
 		this.server = server;
 		this.roleController = roleController;
+		this.rolloutController = rolloutController;
 		this.client = client;
 	}
 
@@ -143,19 +151,21 @@
 		CrashQuarantine quarantine = CrashQuarantine.create();
 		LocalGossipState localState = new LocalGossipState(view, loads, quotas, roleChanges, limits, quarantine,
 				shutdown, ticker, log);
+		Rollouts rollouts = Rollouts.create(view, loads, ticker, log);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 		RouterServices services = new RouterServices(settings, view, roleChanges, platform.requests(),
 				platform.engines(), loads, health, EndpointPicker.create(loads, health, new Random()),
 				new EndpointClient(platform.client(), platform.requests(), health, limits, log), limits,
 				(key) -> membership.position(key, ticker.nanos()), quarantine,
 				TrialLock.of((rows) -> writeTrials(platform.source(), rows)), () -> registration.others().size() + 1,
-				bodies, log, registry);
+				bodies, log, registry, rollouts);
 		RequestIntake intake = new RequestIntake(services, quotas, shutdown);
 		RouterServer server = new RouterServer(services, intake, platform.directory(),
 				() -> callerAddresses(membership, shutdown, ticker), shutdown);
 		server.start(addresses, registry::scrape);
 		GossipNode gossip = GossipNode.start(peerAddress, membership, view, localState, ticker, log);
 		gossip.setSeeds(seeds);
+		gossip.setRollouts(rollouts);
 		FleetReader reader = FleetReader.create(platform.source(), view, () -> membership.rank(ticker.nanos()), log);
 		reader.start();
 		registration.start(gossip::setRegistered);
@@ -164,11 +174,16 @@
 			services.metrics().setUsableEndpoints(view.snapshot().usable());
 		});
 		RoleController roleController = new RoleController(settings.vm(), view, platform.source(), platform.engines(),
-				loads, roleChanges, () -> membership.rank(ticker.nanos()) == 0 && !shutdown.hasBegun(), log);
+				loads, roleChanges, rollouts::isNewVersion,
+				() -> membership.rank(ticker.nanos()) == 0 && !shutdown.hasBegun(), log);
 		roleController.start();
+		RolloutController rolloutController = new RolloutController(view, platform.source(), rollouts,
+				services::exposure, () -> shutdown.hasBegun() ? Integer.MAX_VALUE : membership.rank(ticker.nanos()),
+				() -> names(membership.alivePeers(ticker.nanos())), gossip::announceRollouts, ticker, log);
+		rolloutController.start();
 		log.lifecycle("started", "vm", settings.vm(), "callers", text(addresses.callers()));
 		return new Router(services, quotas, shutdown, log, reader, registration, gossip, intake, server, roleController,
-				platform.client());
+				rolloutController, platform.client());
 	}
 
 	private static TrialWrite writeTrials(TableSource source, List<TrialRow> rows) throws IOException {
@@ -180,6 +195,10 @@
 		}
 	}
 
+	private static Set<String> names(List<GossipMember> members) {
+		return members.stream().map(GossipMember::vm).collect(Collectors.toSet());
+	}
+
 	private static String text(InetSocketAddress address) {
 		return address.getHostString() + ':' + address.getPort();
 	}
@@ -230,6 +249,7 @@
 		}
 		this.log.lifecycle("stopped", "running", this.intake.running(), "unanswered", this.intake.unanswered());
 		this.roleController.close();
+		this.rolloutController.close();
 		this.reader.close();
 		this.registration.close();
 		this.server.close();
--- a/server/src/main/java/org/banyanstile/server/router/RouterCall.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterCall.java
@@ -13,6 +13,7 @@
 import org.banyanstile.io.http.CallHandle;
 import org.banyanstile.io.http.HttpRequest;
 import org.banyanstile.server.caller.CallerConnection;
+import org.banyanstile.server.canary.VersionAssignment;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -47,6 +48,8 @@
 
 	private final String service;
 
+	private final VersionAssignment versions;
+
 	private final @Nullable TeamPolicy team;
 
 	private final byte[] body;
@@ -70,12 +73,14 @@
 	private volatile boolean vmStopping;
 
 	RouterCall(HttpServerExchange exchange, CallerConnection connection, CallerFields fields, ServedRoute route,
-			String service, @Nullable TeamPolicy team, byte[] body, long arrivalNanos, CallerResponse response) {
+			String service, VersionAssignment versions, @Nullable TeamPolicy team, byte[] body, long arrivalNanos,
+			CallerResponse response) {
 		this.exchange = exchange;
 		this.connection = connection;
 		this.fields = fields;
 		this.route = route;
 		this.service = service;
+		this.versions = versions;
 		this.team = team;
 		this.body = body;
 		this.arrivalNanos = arrivalNanos;
@@ -94,6 +99,10 @@
 		return this.service;
 	}
 
+	VersionAssignment versions() {
+		return this.versions;
+	}
+
 	@Nullable
 	String id() {
 		return this.fields.attemptId();
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -7,6 +7,7 @@
 import java.util.function.IntSupplier;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import org.banyanstile.core.canary.ExposureBounds;
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.catalog.ServedService;
@@ -23,6 +24,7 @@
 import org.banyanstile.core.placement.RoleChanges;
 import org.banyanstile.core.quarantine.CrashQuarantine;
 import org.banyanstile.core.quarantine.TrialLock;
+import org.banyanstile.server.canary.Rollouts;
 import org.banyanstile.server.view.FleetTable;
 import org.banyanstile.server.view.FleetView;
 
@@ -40,6 +42,12 @@
 	 */
 	private static final int MAX_RESERVING_REQUESTS = 2;
 
+	/**
+	 * Age of a request up to which it waits for the new version of its service during a
+	 * rollout.
+	 */
+	private static final long MAX_NEW_VERSION_WAIT_MILLIS = 400;
+
 	private volatile RouterSettings settings;
 
 	private final FleetView view;
@@ -76,6 +84,8 @@
 
 	private final RouterMetrics metrics;
 
+	private final Rollouts rollouts;
+
 	private final FirstRequests firstRequests;
 
 	private final Map<String, AdmissionQueue> admissionQueues = new ConcurrentHashMap<>();
@@ -87,7 +97,8 @@
 	RouterServices(RouterSettings settings, FleetView view, RoleChanges roleChanges, RequestProtocol protocol,
 			EngineCalls engineCalls, EndpointLoads loads, EndpointHealth health, EndpointPicker picker,
 			EndpointClient client, EndpointLimits limits, FleetPosition position, CrashQuarantine quarantine,
-			TrialLock trialLock, IntSupplier vmCount, BodyBudget bodies, DecisionLog log, MeterRegistry registry) {
+			TrialLock trialLock, IntSupplier vmCount, BodyBudget bodies, DecisionLog log, MeterRegistry registry,
+			Rollouts rollouts) {
 		this.settings = settings;
 		this.view = view;
 		this.roleChanges = roleChanges;
@@ -104,6 +115,7 @@
 		this.vmCount = vmCount;
 		this.bodies = bodies;
 		this.log = log;
+		this.rollouts = rollouts;
 		this.metrics = new RouterMetrics(registry);
 		this.metrics.bindSuppressedLines(log);
 		this.metrics.bindBodies(bodies);
@@ -131,6 +143,7 @@
 	 */
 	void recordRequest(RegisteredEndpoint endpoint) {
 		this.firstRequests.sent(endpoint.id(), System.nanoTime());
+		this.rollouts.sent(endpoint);
 	}
 
 	FleetView view() {
@@ -138,12 +151,47 @@
 	}
 
 	/**
-	 * Returns the usable engines of one role.
-	 * @param service name of the service
-	 * @param role the role
+	 * Returns the endpoints of a plain service that may get a request, of the version
+	 * that the request is assigned to during a rollout.
+	 * @param call the request
+	 * @return the endpoints
+	 */
+	List<RegisteredEndpoint> endpoints(RouterCall call) {
+		return allowed(call, this.view.snapshot().usable(call.service(), EndpointRole.PLAIN));
+	}
+
+	/**
+	 * Returns the decode engines that may get a request, of the version that the request
+	 * is assigned to during a rollout.
+	 * @param call the request
 	 * @return the engines, without those that are changing their role
 	 */
-	List<RegisteredEndpoint> engines(String service, EndpointRole role) {
+	List<RegisteredEndpoint> decodeEngines(RouterCall call) {
+		return allowed(call, engines(call.service(), EndpointRole.DECODE));
+	}
+
+	// A request that the new version has not served soon is not held up by it.
+	private List<RegisteredEndpoint> allowed(RouterCall call, List<RegisteredEndpoint> candidates) {
+		if (call.isSent() || call.ageMillis() > MAX_NEW_VERSION_WAIT_MILLIS) {
+			call.versions().fallBack();
+		}
+		return this.rollouts.allowed(call.service(), candidates, call.versions());
+	}
+
+	/**
+	 * Returns the prefill engines whose KV cache a decode engine may continue from.
+	 * @param call the request
+	 * @param decodeEngine the decode engine
+	 * @return the engines, without those that are changing their role
+	 */
+	List<RegisteredEndpoint> prefillEngines(RouterCall call, RegisteredEndpoint decodeEngine) {
+		return this.rollouts.allowed(call.service(), engines(call.service(), EndpointRole.PREFILL), call.versions())
+			.stream()
+			.filter((engine) -> this.rollouts.mayShareCache(engine, decodeEngine))
+			.toList();
+	}
+
+	private List<RegisteredEndpoint> engines(String service, EndpointRole role) {
 		long now = System.nanoTime();
 		return this.view.snapshot()
 			.usable(service, role)
@@ -152,6 +200,10 @@
 			.toList();
 	}
 
+	Rollouts rollouts() {
+		return this.rollouts;
+	}
+
 	/**
 	 * Returns whether an engine that was chosen earlier is still usable and not changing
 	 * its role.
@@ -159,7 +211,8 @@
 	 * @return whether it is
 	 */
 	boolean isUsableInCurrentRole(RegisteredEndpoint engine) {
-		return this.view.snapshot().isUsable(engine) && !this.roleChanges.isChanging(engine, System.nanoTime());
+		return this.view.snapshot().isUsable(engine) && this.rollouts.isAllowed(engine)
+				&& !this.roleChanges.isChanging(engine, System.nanoTime());
 	}
 
 	RequestProtocol protocol() {
@@ -232,6 +285,10 @@
 		}
 	}
 
+	ExposureBounds exposure() {
+		return this.settings.exposure();
+	}
+
 	void countRequest(String service) {
 		synchronized (this.retryShares) {
 			retryShare(service).request(System.nanoTime());
--- a/server/src/main/java/org/banyanstile/server/router/RouterSettings.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterSettings.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 
+import org.banyanstile.core.canary.ExposureBounds;
+
 /**
  * Deployment settings of the router.
  *
@@ -12,9 +14,10 @@
  * @param retryWindow sliding window of the retry budget
  * @param limitTolerance tokens by which a team may temporarily exceed its limit
  * @param shutdown time from the request to stop until the process has to have exited
+ * @param exposure bounds on the requests that a bad version of a service may get
  * @author banyanstile contributors
  */
 public record RouterSettings(String vm, String dataCentre, double retryRatio, double retryExtra, Duration retryWindow,
-		double limitTolerance, Duration shutdown) {
+		double limitTolerance, Duration shutdown, ExposureBounds exposure) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/view/FleetSnapshot.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetSnapshot.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.banyanstile.core.canary.RolloutOrder;
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
@@ -16,10 +17,11 @@
  * @param usable endpoints that may get new work, by service
  * @param all all registered endpoints, by id
  * @param evacuated data centres that get no new work
+ * @param rollouts rollouts that the operator requests, by service
  * @author banyanstile contributors
  */
 public record FleetSnapshot(@Nullable Catalog catalog, Map<String, List<RegisteredEndpoint>> usable,
-		Map<String, RegisteredEndpoint> all, Set<String> evacuated) {
+		Map<String, RegisteredEndpoint> all, Set<String> evacuated, Map<String, RolloutOrder> rollouts) {
 
 	/**
 	 * Returns the endpoints of a service that may get new work.
--- a/server/src/main/java/org/banyanstile/server/view/FleetView.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetView.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 
+import org.banyanstile.core.canary.RolloutOrder;
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.common.Ticker;
@@ -65,6 +66,11 @@
 	 */
 	private final Set<String> malformed = new HashSet<>();
 
+	/**
+	 * Requested rollouts by key of their row.
+	 */
+	private final Map<String, RolloutOrder> rollouts = new HashMap<>();
+
 	private final Map<String, Long> keptUntil = new HashMap<>();
 
 	private final Map<String, Long> coldUntil = new HashMap<>();
@@ -77,7 +83,7 @@
 
 	private @Nullable Catalog catalog;
 
-	private volatile FleetSnapshot snapshot = new FleetSnapshot(null, Map.of(), Map.of(), Set.of());
+	private volatile FleetSnapshot snapshot = new FleetSnapshot(null, Map.of(), Map.of(), Set.of(), Map.of());
 
 	private FleetView(RowDecoder decoder, Ticker ticker, DecisionLog log) {
 		this.decoder = decoder;
@@ -173,6 +179,15 @@
 		return replica(table).storeMillis();
 	}
 
+	/**
+	 * Returns the current time of the store's clock, which all VMs share.
+	 * @return the time in milliseconds, -1 if the store was never read
+	 */
+	public synchronized long storeNowMillis() {
+		long confirmed = storeMillis(FleetTable.OPERATOR);
+		return (confirmed < 0) ? -1 : confirmed + millisSinceConfirmation(FleetTable.OPERATOR);
+	}
+
 	private void recordConfirmation(FleetTable table, long earlierMillis) {
 		if (storeMillis(table) != earlierMillis) {
 			this.confirmedAt.put(table, this.ticker.nanos());
@@ -258,6 +273,10 @@
 			this.log.stateChange("evacuation", "dataCentre", dataCentre, "evacuated", row != null);
 			return;
 		}
+		if (this.decoder.isRollout(key)) {
+			updateRollout(key, row);
+			return;
+		}
 		if (!this.decoder.isCatalog(key) || row == null || row.value() == null) {
 			return;
 		}
@@ -274,6 +293,23 @@
 		}
 	}
 
+	private void updateRollout(String key, @Nullable ReplicaRow row) {
+		if (row == null || row.value() == null) {
+			RolloutOrder withdrawn = this.rollouts.remove(key);
+			this.log.stateChange("rollout withdrawn", "row", key, "order", withdrawn);
+			return;
+		}
+		try {
+			RolloutOrder order = this.decoder.decodeRollout(key, row.version(), row.value());
+			this.rollouts.put(key, order);
+			this.log.stateChange("rollout requested", "service", order.service(), "to", order.to(), "deadlineMillis",
+					order.deadlineMillis(), "row", row.version());
+		}
+		catch (MalformedRowException | RuntimeException | StackOverflowError ex) {
+			this.log.problem("malformed rollout row " + key + "; the previous one stays in force", ex);
+		}
+	}
+
 	private void updateEndpoints(Set<String> changed, TableReplica replica) {
 		Map<String, RegisteredEndpoint> removed = new HashMap<>();
 		for (String id : changed) {
@@ -363,7 +399,9 @@
 				usable.computeIfAbsent(endpoint.service(), (service) -> new ArrayList<>()).add(endpoint);
 			}
 		}
-		this.snapshot = new FleetSnapshot(this.catalog, usable, Map.copyOf(this.endpoints), evacuated);
+		Map<String, RolloutOrder> byService = new HashMap<>();
+		this.rollouts.values().forEach((order) -> byService.put(order.service(), order));
+		this.snapshot = new FleetSnapshot(this.catalog, usable, Map.copyOf(this.endpoints), evacuated, byService);
 	}
 
 	/**
--- a/server/src/main/java/org/banyanstile/server/view/RowDecoder.java
+++ b/server/src/main/java/org/banyanstile/server/view/RowDecoder.java
@@ -1,5 +1,6 @@
 package org.banyanstile.server.view;
 
+import org.banyanstile.core.canary.RolloutOrder;
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.jspecify.annotations.Nullable;
@@ -34,6 +35,27 @@
 	 */
 	Catalog decodeCatalog(byte[] value) throws MalformedRowException;
 
+	/**
+	 * Returns whether a row of the operator's table requests a rollout.
+	 * @param key key of the row
+	 * @return whether it does, by default not
+	 */
+	default boolean isRollout(String key) {
+		return false;
+	}
+
+	/**
+	 * Decodes the request of a rollout.
+	 * @param key key of the row
+	 * @param version version of the row
+	 * @param value content of the row
+	 * @return the request
+	 * @throws MalformedRowException if it cannot be decoded
+	 */
+	default RolloutOrder decodeRollout(String key, long version, byte[] value) throws MalformedRowException {
+		throw new MalformedRowException("the row " + key + " requests no rollout", null);
+	}
+
 	/**
 	 * Decodes the entry of an endpoint.
 	 * @param id id of the endpoint, the key of its row
--- a/server/src/main/java/org/banyanstile/server/view/TableSource.java
+++ b/server/src/main/java/org/banyanstile/server/view/TableSource.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 
+import org.banyanstile.core.canary.RolloutOrder;
+import org.banyanstile.core.canary.RolloutStage;
 import org.banyanstile.core.quarantine.TrialRow;
 import org.banyanstile.core.quarantine.TrialWrite;
 
@@ -72,6 +74,26 @@
 	 */
 	long writeRoleChangeOwner(String vm, long expectedVersion) throws TableSourceException;
 
+	/**
+	 * Reads the row with the stage of a rollout.
+	 * @param service name of the service
+	 * @return the row
+	 * @throws TableSourceException if the store did not respond
+	 */
+	RolloutRow rollout(String service) throws TableSourceException;
+
+	/**
+	 * Writes the stage of a rollout and the state that the operator reads, if the row of
+	 * the stage still has a version.
+	 * @param order the request of the operator
+	 * @param stage the stage
+	 * @param expectedVersion the version that the row must have, 0 if it must not exist
+	 * @return the new version, or -1 if the row has another version
+	 * @throws TableSourceException if the store did not respond, so the outcome is
+	 * unknown
+	 */
+	long writeRollout(RolloutOrder order, RolloutStage stage, long expectedVersion) throws TableSourceException;
+
 	/**
 	 * Writes rows with claims to trials if all of them still have the versions given. The
 	 * store responds soon or not at all, since a request waits for it.
--- a/server/src/test/java/org/banyanstile/server/gossip/VmRegistrationTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/VmRegistrationTests.java
@@ -4,12 +4,15 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.banyanstile.core.canary.RolloutOrder;
+import org.banyanstile.core.canary.RolloutStage;
 import org.banyanstile.core.membership.RegisteredVms;
 import org.banyanstile.core.quarantine.TrialRow;
 import org.banyanstile.core.quarantine.TrialWrite;
 import org.banyanstile.server.router.DecisionLog;
 import org.banyanstile.server.view.FleetTable;
 import org.banyanstile.server.view.RoleChangeOwnerRow;
+import org.banyanstile.server.view.RolloutRow;
 import org.banyanstile.server.view.TableRead;
 import org.banyanstile.server.view.TableSource;
 import org.banyanstile.server.view.TableSourceException;
@@ -158,6 +161,16 @@
 			return -1;
 		}
 
+		@Override
+		public RolloutRow rollout(String service) {
+			return new RolloutRow(0, null);
+		}
+
+		@Override
+		public long writeRollout(RolloutOrder order, RolloutStage stage, long expectedVersion) {
+			return -1;
+		}
+
 		@Override
 		public TrialWrite writeTrials(List<TrialRow> rows) {
 			return TrialWrite.ofRejected(rows);
--- a/server/src/test/java/org/banyanstile/server/view/FleetReaderTests.java
+++ b/server/src/test/java/org/banyanstile/server/view/FleetReaderTests.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
+import org.banyanstile.core.canary.RolloutOrder;
+import org.banyanstile.core.canary.RolloutStage;
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
@@ -241,6 +243,16 @@
 			return -1;
 		}
 
+		@Override
+		public RolloutRow rollout(String service) {
+			return new RolloutRow(0, null);
+		}
+
+		@Override
+		public long writeRollout(RolloutOrder order, RolloutStage stage, long expectedVersion) {
+			return -1;
+		}
+
 		@Override
 		public TrialWrite writeTrials(List<TrialRow> rows) {
 			return TrialWrite.ofRejected(rows);
