Let one VM after the other decide on a rollout

Only VMs of the lowest names have recent evidence, so others write only changes of the phase, and later by rank. A write without an answer is followed by a read.

--- a/core/src/main/java/org/banyanstile/core/canary/VersionJudgement.java
+++ b/core/src/main/java/org/banyanstile/core/canary/VersionJudgement.java
@@ -40,6 +40,11 @@
 
 	private static final double SLOW_FACTOR = 1.7;
 
+	/**
+	 * Delay below which no caller notices a slow response, whatever the usual time.
+	 */
+	private static final long MIN_DELAY_MILLIS = 20;
+
 	/**
 	 * Samples of the old version without which times are not compared.
 	 */
@@ -107,7 +112,8 @@
 		if (old.total() < MIN_OLD_TIMES) {
 			return false;
 		}
-		long limit = Math.round(SLOW_FACTOR * old.quantileMillis(OLD_QUANTILE));
+		long usual = old.quantileMillis(OLD_QUANTILE);
+		long limit = Math.max(Math.round(SLOW_FACTOR * usual), usual + MIN_DELAY_MILLIS);
 		return exceeds(next.above(limit), next.total(), MIN_SLOW, SLOW_TOLERANCE);
 	}
 
--- a/server/src/main/java/org/banyanstile/server/canary/RolloutController.java
+++ b/server/src/main/java/org/banyanstile/server/canary/RolloutController.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 
 import org.banyanstile.core.canary.ExposureBounds;
+import org.banyanstile.core.canary.RolloutOrder;
 import org.banyanstile.core.canary.RolloutPhase;
 import org.banyanstile.core.canary.RolloutPlan;
 import org.banyanstile.core.canary.RolloutStage;
@@ -49,6 +50,11 @@
 	 */
 	private static final long STAGE_WAIT_NANOS = 400_000_000L;
 
+	/**
+	 * Pause after a call that the store did not answer.
+	 */
+	private static final long RETRY_NANOS = 300_000_000L;
+
 	/**
 	 * Oldest report of a VM that counts for the end of old requests.
 	 */
@@ -126,13 +132,14 @@
 		for (ServiceRollout rollout : this.rollouts.all()) {
 			StoredStage known = this.stored.computeIfAbsent(rollout.order().service(), (service) -> new StoredStage());
 			try {
-				if (!rollout.isWithdrawn()) {
+				if (!rollout.isWithdrawn() && this.ticker.nanos() >= known.retryNanos) {
 					decide(rollout, known);
 				}
 			}
 			catch (TableSourceException ex) {
 				// The write may have been applied, so the row is read before another one.
 				known.version = -1;
+				known.retryNanos = this.ticker.nanos() + RETRY_NANOS;
 				this.log.problem("the store did not confirm the rollout of " + rollout.order().service(), ex);
 			}
 			catch (RuntimeException | Error ex) {
@@ -150,14 +157,15 @@
 			read(rollout, known);
 			stage = rollout.stage();
 		}
-		if (currentRank > MAX_RANK || this.view.storeNowMillis() < 0
-				|| (stage != null && stage.equals(known.stage) && stage.phase().isFinal())) {
+		if (currentRank > MAX_RANK || this.view.storeNowMillis() < 0 || known.isVerdictOn(rollout.order())) {
 			return;
 		}
 		RolloutPlan.Decision decision = RolloutPlan.decide(rollout.order(), stage, facts(rollout, now),
 				this.bounds.get());
 		boolean unwrittenVerdict = stage != null && stage.phase().isFinal();
-		if (decision.stage().equals(stage) && !unwrittenVerdict) {
+		boolean due = !decision.stage().equals(stage)
+				&& (currentRank == 0 || stage == null || isChangeOfPhase(decision.stage(), stage));
+		if (!due && !unwrittenVerdict) {
 			known.dueSince = 0;
 			return;
 		}
@@ -173,6 +181,13 @@
 		write(rollout, known, decision);
 	}
 
+	// Only the VMs of the lowest names have recent evidence of all others, so no other
+	// one
+	// adapts the share.
+	private boolean isChangeOfPhase(RolloutStage next, RolloutStage stage) {
+		return next.phase() != stage.phase() || this.view.storeNowMillis() > stage.untilMillis();
+	}
+
 	private void read(ServiceRollout rollout, StoredStage known) throws TableSourceException {
 		known.readNanos = this.ticker.nanos();
 		RolloutRow row = this.store.rollout(rollout.order().service());
@@ -261,8 +276,14 @@
 
 		private long dueSince;
 
+		private long retryNanos = Long.MIN_VALUE;
+
 		private long readNanos = Long.MIN_VALUE / 2;
 
+		private boolean isVerdictOn(RolloutOrder order) {
+			return this.stage != null && this.stage.order() == order.id() && this.stage.phase().isFinal();
+		}
+
 	}
 
 }
