Count silent responses as slow and expose rollouts as metrics

A response that never begins left no evidence of its time, and cold endpoints of the new version counted as capacity.

The time without a first byte counts as the time to it, cold endpoints do not count, versions share KV caches again after a completed rollout, and phase, share and requests are gauges.

--- a/server/src/main/java/org/banyanstile/server/canary/RolloutController.java
+++ b/server/src/main/java/org/banyanstile/server/canary/RolloutController.java
@@ -241,9 +241,12 @@
 				rollout.oldVersions(snapshot.all().values()), rollout.fleetEvidence());
 	}
 
-	private static boolean isNewReady(ServiceRollout rollout, FleetSnapshot snapshot) {
+	// Cold endpoints take few requests, whatever their number.
+	private boolean isNewReady(ServiceRollout rollout, FleetSnapshot snapshot) {
 		List<RegisteredEndpoint> usable = snapshot.usable().getOrDefault(rollout.order().service(), List.of());
-		List<RegisteredEndpoint> next = usable.stream().filter(rollout::isNew).toList();
+		List<RegisteredEndpoint> next = usable.stream()
+			.filter((endpoint) -> rollout.isNew(endpoint) && !this.view.isCold(endpoint.id()))
+			.toList();
 		List<RegisteredEndpoint> old = usable.stream().filter((endpoint) -> !rollout.isNew(endpoint)).toList();
 		for (EndpointRole role : EndpointRole.values()) {
 			if (old.stream().anyMatch((endpoint) -> endpoint.role() == role)
--- a/server/src/main/java/org/banyanstile/server/canary/Rollouts.java
+++ b/server/src/main/java/org/banyanstile/server/canary/Rollouts.java
@@ -140,7 +140,8 @@
 	 * @return whether it may
 	 */
 	public boolean mayShareCache(RegisteredEndpoint prefill, RegisteredEndpoint decode) {
-		return rollout(decode.service()) == null || prefill.version().equals(decode.version());
+		ServiceRollout rollout = rollout(decode.service());
+		return rollout == null || rollout.isCompleted() || prefill.version().equals(decode.version());
 	}
 
 	/**
@@ -151,7 +152,7 @@
 	 */
 	public boolean isNewVersion(RegisteredEndpoint endpoint) {
 		ServiceRollout rollout = rollout(endpoint.service());
-		return rollout != null && rollout.isNew(endpoint);
+		return rollout != null && !rollout.isCompleted() && rollout.isNew(endpoint);
 	}
 
 	/**
@@ -166,8 +167,9 @@
 	}
 
 	/**
-	 * Records the time to the first byte or event of a response. Cold endpoints are slow
-	 * whatever their version.
+	 * Records the time to the first byte or event of a response, or the time for which
+	 * none has arrived when the request ends. Cold endpoints are slow whatever their
+	 * version.
 	 * @param endpoint the endpoint
 	 * @param route name of the route
 	 * @param millis time since the request was sent
--- a/server/src/main/java/org/banyanstile/server/canary/ServiceRollout.java
+++ b/server/src/main/java/org/banyanstile/server/canary/ServiceRollout.java
@@ -90,6 +90,10 @@
 		return this.withdrawn;
 	}
 
+	synchronized boolean isCompleted() {
+		return this.stage != null && this.stage.phase() == RolloutPhase.COMPLETED;
+	}
+
 	boolean isNew(RegisteredEndpoint endpoint) {
 		return endpoint.version().equals(this.order.to());
 	}
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -340,6 +340,10 @@
 		}
 		catch (HttpException | StreamMismatchException ex) {
 			this.splitter.resume();
+			if (this.splitter.eventCount() == earlierEvents) {
+				this.services.rollouts()
+					.began(engine, this.call.route().name(), this.call.ageMillis() - this.attemptStartMillis);
+			}
 			if (ex instanceof BodyMemoryException) {
 				this.services.metrics().bodyRejected("response");
 			}
--- a/server/src/main/java/org/banyanstile/server/router/PlainRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/PlainRun.java
@@ -172,6 +172,7 @@
 			long millis = (System.nanoTime() - startNanos) / 1_000_000;
 			this.services.health()
 				.answered(endpoint.id(), millis, buffered.status() >= SERVER_ERROR, System.nanoTime());
+			this.services.rollouts().began(endpoint, this.call.route().name(), millis);
 			this.services.rollouts()
 				.ended(endpoint, this.call.route().name(),
 						(buffered.status() >= SERVER_ERROR) ? RunOutcome.FAILED : RunOutcome.ANSWERED, millis);
@@ -187,6 +188,8 @@
 				this.services.health().unreachable(endpoint.id(), System.nanoTime());
 				this.services.rollouts().ended(endpoint, this.call.route().name(), RunOutcome.BROKEN, 0);
 			}
+			this.services.rollouts()
+				.began(endpoint, this.call.route().name(), (System.nanoTime() - startNanos) / 1_000_000);
 			throw UnknownOutcomeException.of(ex);
 		}
 		finally {
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -31,6 +31,7 @@
 import org.banyanstile.core.quarantine.TrialWrite;
 import org.banyanstile.io.http.HttpClient;
 import org.banyanstile.server.canary.RolloutController;
+import org.banyanstile.server.canary.RolloutMetrics;
 import org.banyanstile.server.canary.Rollouts;
 import org.banyanstile.server.gossip.GossipCrashes;
 import org.banyanstile.server.gossip.GossipLimit;
@@ -159,6 +160,7 @@
 				(key) -> membership.position(key, ticker.nanos()), quarantine,
 				TrialLock.of((rows) -> writeTrials(platform.source(), rows)), () -> registration.others().size() + 1,
 				bodies, log, registry, rollouts);
+		RolloutMetrics rolloutMetrics = RolloutMetrics.register(rollouts, registry);
 		RequestIntake intake = new RequestIntake(services, quotas, shutdown);
 		RouterServer server = new RouterServer(services, intake, platform.directory(),
 				() -> callerAddresses(membership, shutdown, ticker), shutdown);
@@ -172,6 +174,7 @@
 		server.schedule(Duration.ofSeconds(1), () -> {
 			platform.client().closeIdle(MAX_CONNECTION_IDLE);
 			services.metrics().setUsableEndpoints(view.snapshot().usable());
+			rolloutMetrics.update();
 		});
 		RoleController roleController = new RoleController(settings.vm(), view, platform.source(), platform.engines(),
 				loads, roleChanges, rollouts::isNewVersion,
