--- a/server/src/main/java/org/banyanstile/server/view/FleetView.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetView.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 
-import org.banyanstile.core.canary.RolloutOrder;
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.common.Ticker;
@@ -66,10 +65,7 @@
 	 */
 	private final Set<String> malformed = new HashSet<>();
 
-	/**
-	 * Requested rollouts by key of their row.
-	 */
-	private final Map<String, RolloutOrder> rollouts = new HashMap<>();
+	private final RolloutRows rollouts;
 
 	private final Map<String, Long> keptUntil = new HashMap<>();
 
@@ -90,6 +86,7 @@
 		this.ticker = ticker;
 		this.createdAt = ticker.nanos();
 		this.log = log;
+		this.rollouts = new RolloutRows(decoder, log);
 		for (FleetTable table : FleetTable.values()) {
 			this.replicas.put(table, new TableReplica());
 		}
@@ -274,7 +271,7 @@
 			return;
 		}
 		if (this.decoder.isRollout(key)) {
-			updateRollout(key, row);
+			this.rollouts.update(key, row);
 			return;
 		}
 		if (!this.decoder.isCatalog(key) || row == null || row.value() == null) {
@@ -293,23 +290,6 @@
 		}
 	}
 
-	private void updateRollout(String key, @Nullable ReplicaRow row) {
-		if (row == null || row.value() == null) {
-			RolloutOrder withdrawn = this.rollouts.remove(key);
-			this.log.stateChange("rollout withdrawn", "row", key, "order", withdrawn);
-			return;
-		}
-		try {
-			RolloutOrder order = this.decoder.decodeRollout(key, row.version(), row.value());
-			this.rollouts.put(key, order);
-			this.log.stateChange("rollout requested", "service", order.service(), "to", order.to(), "deadlineMillis",
-					order.deadlineMillis(), "row", row.version());
-		}
-		catch (MalformedRowException | RuntimeException | StackOverflowError ex) {
-			this.log.problem("malformed rollout row " + key + "; the previous one stays in force", ex);
-		}
-	}
-
 	private void updateEndpoints(Set<String> changed, TableReplica replica) {
 		Map<String, RegisteredEndpoint> removed = new HashMap<>();
 		for (String id : changed) {
@@ -399,9 +379,8 @@
 				usable.computeIfAbsent(endpoint.service(), (service) -> new ArrayList<>()).add(endpoint);
 			}
 		}
-		Map<String, RolloutOrder> byService = new HashMap<>();
-		this.rollouts.values().forEach((order) -> byService.put(order.service(), order));
-		this.snapshot = new FleetSnapshot(this.catalog, usable, Map.copyOf(this.endpoints), evacuated, byService);
+		this.snapshot = new FleetSnapshot(this.catalog, usable, Map.copyOf(this.endpoints), evacuated,
+				this.rollouts.byService());
 	}
 
 	/**
