--- a/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
@@ -236,10 +236,7 @@
 	}
 
 	private @Nullable DecodeReservation tryReserve(Predicate<RegisteredEndpoint> candidate, boolean late) {
-		List<RegisteredEndpoint> engines = this.services.engines(this.call.service(), EndpointRole.DECODE)
-			.stream()
-			.filter(candidate)
-			.toList();
+		List<RegisteredEndpoint> engines = this.services.decodeEngines(this.call).stream().filter(candidate).toList();
 		List<RegisteredEndpoint> ordered = this.services.picker()
 			.mostFreeMemory(engines, this.traits.memoryTokens(), this.tokens, System.nanoTime());
 		int asked = 0;
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -14,6 +14,7 @@
 import org.banyanstile.io.http.HttpException;
 import org.banyanstile.io.http.HttpResponse;
 import org.banyanstile.io.http.ResponseTimeoutException;
+import org.banyanstile.server.canary.RunOutcome;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -118,6 +119,8 @@
 	 */
 	private @Nullable DecodeReservation failoverReservation;
 
+	private long attemptStartMillis;
+
 	/**
 	 * Age of the request up to which the memory of its generation has been recorded.
 	 */
@@ -312,6 +315,7 @@
 	private void preparePrompt(DecodeReservation reservation) {
 		PrefilledPrompt kept = this.prefilledPrompt;
 		if (kept != null && this.promptRefusals < MAX_PROMPT_REFUSALS
+				&& this.services.rollouts().mayShareCache(kept.engine(), reservation.engine())
 				&& kept.isUsable(this.traits.handleMillis(), System.nanoTime())) {
 			return;
 		}
@@ -346,6 +350,7 @@
 		Duration responseTimeout = Duration.ofMillis(Math.max(1, this.call.remainingMillis()));
 		int earlierEvents = this.splitter.eventCount();
 		this.attempts.beginAttempt(engine);
+		this.attemptStartMillis = this.call.ageMillis();
 		beginPrefillAtDecodeEngine(reservation, offered == null);
 		try (HttpResponse response = this.services.client()
 			.send(this.call, engine, fields, MAX_POOLED_IDLE, responseTimeout)) {
@@ -360,6 +365,7 @@
 				relay(response, engine, lease);
 			}
 			this.services.health().answered(engine.id(), 0, false, System.nanoTime());
+			recordEnd(engine, RunOutcome.ANSWERED);
 			this.call.response().end();
 			recordComplete(engine);
 			return true;
@@ -367,11 +373,16 @@
 		catch (HttpException | StreamMismatchException ex) {
 			this.splitter.resume();
 			this.services.metrics().exchangeFailed(engine.id(), ex);
+			if (this.splitter.eventCount() == earlierEvents) {
+				this.services.rollouts()
+					.began(engine, this.call.route().name(), this.call.ageMillis() - this.attemptStartMillis);
+			}
 			if (ex instanceof BodyMemoryException) {
 				this.services.metrics().bodyRejected("response");
 			}
 			if (!this.call.isCancelledOrTimedOut()) {
 				this.services.health().unreachable(engine.id(), System.nanoTime());
+				recordEnd(engine, RunOutcome.BROKEN);
 			}
 			if (ex instanceof ConnectionBrokenException) {
 				this.crashGuard.connectionBroken(engine);
@@ -406,7 +417,12 @@
 		long progressAt = this.call.ageMillis();
 		ByteBuffer bytes = next(response, engine);
 		while (bytes != null) {
+			boolean first = this.splitter.eventCount() == earlierEvents;
 			boolean forwarded = forwardEvents(bytes, engine);
+			if (first && forwarded) {
+				this.services.rollouts()
+					.began(engine, this.call.route().name(), this.call.ageMillis() - this.attemptStartMillis);
+			}
 			if (this.splitter.isOutOfSequence()) {
 				throw new StreamMismatchException(
 						engine.id() + " sent an event that does not follow event " + this.splitter.lastEventId());
@@ -523,6 +539,7 @@
 		try (BodyBudget.Lease lease = this.services.bodies().response(engine.id())) {
 			BodyChunks body = response.body(MAX_FAILURE_BYTES, lease::tryAcquire);
 			this.services.health().answered(engine.id(), 0, response.status() >= SERVER_ERROR, System.nanoTime());
+			recordEnd(engine, (response.status() >= SERVER_ERROR) ? RunOutcome.FAILED : RunOutcome.ANSWERED);
 			this.attempts.log(engine, Integer.toString(response.status()), "");
 			if (this.call.response().isStarted()
 					|| (response.status() >= SERVER_ERROR && this.attempts.mayRetryAfterRun())) {
@@ -533,6 +550,11 @@
 		}
 	}
 
+	private void recordEnd(RegisteredEndpoint engine, RunOutcome outcome) {
+		this.services.rollouts()
+			.ended(engine, this.call.route().name(), outcome, this.call.ageMillis() - this.attemptStartMillis);
+	}
+
 	private void releaseReservation(DecodeReservation reservation) {
 		reservation.end(0);
 		try {
--- a/server/src/main/java/org/banyanstile/server/router/RoleController.java
+++ b/server/src/main/java/org/banyanstile/server/router/RoleController.java
@@ -1,5 +1,6 @@
 package org.banyanstile.server.router;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -10,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.EndpointRole;
@@ -78,6 +80,8 @@
 
 	private final RouterServices services;
 
+	private final Predicate<RegisteredEndpoint> isNewVersion;
+
 	private final BooleanSupplier isEligible;
 
 	private final DecisionLog log;
@@ -113,7 +117,8 @@
 	private long knownIdsSinceNanos;
 
 	RoleController(String vm, FleetView view, TableSource store, EngineCalls engineCalls, EndpointLoads loads,
-			RoleChanges roleChanges, RouterServices services, BooleanSupplier isEligible, DecisionLog log) {
+			RoleChanges roleChanges, RouterServices services, Predicate<RegisteredEndpoint> isNewVersion,
+			BooleanSupplier isEligible, DecisionLog log) {
 		this.vm = vm;
 		this.view = view;
 		this.store = store;
@@ -121,6 +126,7 @@
 		this.loads = loads;
 		this.roleChanges = roleChanges;
 		this.services = services;
+		this.isNewVersion = isNewVersion;
 		this.isEligible = isEligible;
 		this.log = log;
 		this.ownership = RoleChangeOwnership.of(vm);
@@ -217,7 +223,12 @@
 			return planByDemand(service, traits, DemandBalance.of(usable, absent, pending,
 					this.services.observations().speeds(), (id) -> this.loads.total(id).tokens()), now);
 		}
-		return RoleBalance.plan(usable, absent, pending, (id) -> this.loads.total(id).tokens());
+		List<RoleBalance.RoleChange> changes = new ArrayList<>();
+		for (Predicate<RegisteredEndpoint> version : List.of(this.isNewVersion.negate(), this.isNewVersion)) {
+			changes.addAll(RoleBalance.plan(usable.stream().filter(version).toList(),
+					absent.stream().filter(version).toList(), pending, (id) -> this.loads.total(id).tokens()));
+		}
+		return changes;
 	}
 
 	private List<RoleBalance.RoleChange> planByDemand(String service, EngineTraits traits, DemandBalance balance,
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -8,7 +8,9 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -31,6 +33,9 @@
 import org.banyanstile.core.quarantine.TrialWrite;
 import org.banyanstile.core.scheduling.LeastCostScheduler;
 import org.banyanstile.io.http.HttpClient;
+import org.banyanstile.server.canary.RolloutController;
+import org.banyanstile.server.canary.RolloutMetrics;
+import org.banyanstile.server.canary.Rollouts;
 import org.banyanstile.server.gossip.GossipCrashes;
 import org.banyanstile.server.gossip.GossipEngines;
 import org.banyanstile.server.gossip.GossipLimit;
@@ -93,11 +98,14 @@
 
 	private final RoleController roleController;
 
+	private final RolloutController rolloutController;
+
 	private final HttpClient client;
 
 	private Router(RouterServices services, TeamQuotas quotas, GracefulShutdown shutdown, DecisionLog log,
 			FleetReader reader, VmRegistration registration, GossipNode gossip, @Nullable SchedulerNode scheduler,
-			RequestIntake intake, RouterServer server, RoleController roleController, HttpClient client) {
+			RequestIntake intake, RouterServer server, RoleController roleController,
+			RolloutController rolloutController, HttpClient client) {
 		this.services = services;
 		this.quotas = quotas;
 		this.shutdown = shutdown;
@@ -109,6 +117,7 @@
 		this.intake = intake;
 		this.server = server;
 		this.roleController = roleController;
+		this.rolloutController = rolloutController;
 		this.client = client;
 	}
 
@@ -156,6 +165,7 @@
 		RoleChanges roleChanges = new RoleChanges();
 		EndpointLimits limits = new EndpointLimits();
 		CrashQuarantine quarantine = CrashQuarantine.create();
+		Rollouts rollouts = Rollouts.create(view, loads, ticker, log);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 		RouterMetrics metrics = new RouterMetrics(registry);
 		RouterServices services = new RouterServices(settings, view, roleChanges, platform.requests(),
@@ -163,10 +173,12 @@
 				new EndpointClient(platform.client(), platform.requests(), health, limits, log, metrics), limits,
 				(key) -> membership.position(key, ticker.nanos()), quarantine,
 				TrialLock.of((rows) -> writeTrials(platform.source(), rows)),
-				(key) -> FleetPosition.among(key, settings.vm(), registration.others()), bodies, log, metrics);
+				(key) -> FleetPosition.among(key, settings.vm(), registration.others()), bodies, log, metrics,
+				rollouts);
 		SchedulerNode scheduler = startScheduler(settings, addresses, membership, services, ticker, registry, log);
 		LocalGossipState localState = new LocalGossipState(services, view, loads, quotas, roleChanges, limits,
 				quarantine, shutdown, ticker, log);
+		RolloutMetrics rolloutMetrics = RolloutMetrics.register(rollouts, registry);
 		RequestIntake intake = new RequestIntake(services, quotas, shutdown);
 		RouterServer server = new RouterServer(services, intake, platform.directory(),
 				() -> callerAddresses(membership, shutdown, ticker), shutdown);
@@ -174,19 +186,26 @@
 				new OperatorPages(registry::scrape, new RequestExplainer(services, quotas, shutdown, settings.vm())));
 		GossipNode gossip = GossipNode.start(peerAddress, membership, view, localState, ticker, log);
 		gossip.setSeeds(seeds);
+		gossip.setRollouts(rollouts);
 		FleetReader reader = FleetReader.create(platform.source(), view, () -> membership.rank(ticker.nanos()), log);
 		reader.start();
 		registration.start(gossip::setRegistered);
 		server.schedule(Duration.ofSeconds(1), () -> {
 			platform.client().closeIdle(MAX_CONNECTION_IDLE);
 			services.metrics().setUsableEndpoints(view.snapshot().usable());
+			rolloutMetrics.update();
 		});
 		RoleController roleController = new RoleController(settings.vm(), view, platform.source(), platform.engines(),
-				loads, roleChanges, services, () -> membership.rank(ticker.nanos()) == 0 && !shutdown.hasBegun(), log);
+				loads, roleChanges, services, rollouts::isNewVersion,
+				() -> membership.rank(ticker.nanos()) == 0 && !shutdown.hasBegun(), log);
 		roleController.start();
+		RolloutController rolloutController = new RolloutController(view, platform.source(), rollouts,
+				services::exposure, () -> shutdown.hasBegun() ? Integer.MAX_VALUE : membership.rank(ticker.nanos()),
+				() -> names(membership.alivePeers(ticker.nanos())), gossip::announceRollouts, ticker, log);
+		rolloutController.start();
 		log.lifecycle("started", "vm", settings.vm(), "callers", text(addresses.callers()));
 		return new Router(services, quotas, shutdown, log, reader, registration, gossip, scheduler, intake, server,
-				roleController, platform.client());
+				roleController, rolloutController, platform.client());
 	}
 
 	private static @Nullable SchedulerNode startScheduler(RouterSettings settings, RouterAddresses addresses,
@@ -211,6 +230,10 @@
 		}
 	}
 
+	private static Set<String> names(List<GossipMember> members) {
+		return members.stream().map(GossipMember::vm).collect(Collectors.toSet());
+	}
+
 	private static String text(InetSocketAddress address) {
 		return address.getHostString() + ':' + address.getPort();
 	}
@@ -261,6 +284,7 @@
 		}
 		this.log.lifecycle("stopped", "running", this.intake.running(), "unanswered", this.intake.unanswered());
 		this.roleController.close();
+		this.rolloutController.close();
 		this.reader.close();
 		this.registration.close();
 		this.server.close();
--- a/server/src/main/java/org/banyanstile/server/view/FleetView.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetView.java
@@ -65,6 +65,8 @@
 	 */
 	private final Set<String> malformed = new HashSet<>();
 
+	private final RolloutRows rollouts;
+
 	private final Map<String, Long> keptUntil = new HashMap<>();
 
 	private final Map<String, Long> coldUntil = new HashMap<>();
@@ -77,13 +79,14 @@
 
 	private @Nullable Catalog catalog;
 
-	private volatile FleetSnapshot snapshot = new FleetSnapshot(null, Map.of(), Map.of(), Set.of());
+	private volatile FleetSnapshot snapshot = new FleetSnapshot(null, Map.of(), Map.of(), Set.of(), Map.of());
 
 	private FleetView(RowDecoder decoder, Ticker ticker, DecisionLog log) {
 		this.decoder = decoder;
 		this.ticker = ticker;
 		this.createdAt = ticker.nanos();
 		this.log = log;
+		this.rollouts = new RolloutRows(decoder, log);
 		for (FleetTable table : FleetTable.values()) {
 			this.replicas.put(table, new TableReplica());
 		}
@@ -173,6 +176,15 @@
 		return replica(table).storeMillis();
 	}
 
+	/**
+	 * Returns the current time of the store's clock, which all VMs share.
+	 * @return the time in milliseconds, -1 if the store was never read
+	 */
+	public synchronized long storeNowMillis() {
+		long confirmed = storeMillis(FleetTable.OPERATOR);
+		return (confirmed < 0) ? -1 : confirmed + millisSinceConfirmation(FleetTable.OPERATOR);
+	}
+
 	private void recordConfirmation(FleetTable table, long earlierMillis) {
 		if (storeMillis(table) != earlierMillis) {
 			this.confirmedAt.put(table, this.ticker.nanos());
@@ -258,6 +270,10 @@
 			this.log.stateChange("evacuation", "dataCentre", dataCentre, "evacuated", row != null);
 			return;
 		}
+		if (this.decoder.isRollout(key)) {
+			this.rollouts.update(key, row);
+			return;
+		}
 		if (!this.decoder.isCatalog(key) || row == null || row.value() == null) {
 			return;
 		}
@@ -363,7 +379,8 @@
 				usable.computeIfAbsent(endpoint.service(), (service) -> new ArrayList<>()).add(endpoint);
 			}
 		}
-		this.snapshot = new FleetSnapshot(this.catalog, usable, Map.copyOf(this.endpoints), evacuated);
+		this.snapshot = new FleetSnapshot(this.catalog, usable, Map.copyOf(this.endpoints), evacuated,
+				this.rollouts.byService());
 	}
 
 	/**
