Write the fault of a connection only when there is one

Cause: the check wrote its volatile field for each byte of framing.

Change: the field is written at a fault only. ResponseFramingTests (343), HttpClientTests (14) and EndlessResponseTests (10) pass.

--- a/io/src/main/java/org/banyanstile/io/http/ResponseFraming.java
+++ b/io/src/main/java/org/banyanstile/io/http/ResponseFraming.java
@@ -144,12 +144,12 @@
 				i += skipData(to - i);
 				continue;
 			}
-			this.fault = check(bytes.get(i));
-			if (this.fault != null) {
-				return i;
+			FramingFault found = check(bytes.get(i));
+			if (found == null && this.state == State.ENDED && !this.bodyAllowed && i + 1 < to) {
+				found = FramingFault.UNEXPECTED_BODY;
 			}
-			if (this.state == State.ENDED && !this.bodyAllowed && i + 1 < to) {
-				this.fault = FramingFault.UNEXPECTED_BODY;
+			if (found != null) {
+				this.fault = found;
 				return i;
 			}
 			i++;
