--- a/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
@@ -167,12 +167,7 @@
 	}
 
 	private PlacementDemand demand() {
-		long now = System.nanoTime();
-		Set<String> unusable = this.services.engines(this.call.service(), EndpointRole.DECODE)
-			.stream()
-			.map(RegisteredEndpoint::id)
-			.filter((engine) -> !this.services.health().isUsable(engine, now))
-			.collect(Collectors.toSet());
+		Set<String> unusable = unusableEngines();
 		long onTimeMillis = this.call.isCallerRetry() ? -1
 				: this.call.route().objectiveMillis() - TYPICAL_FIRST_EVENT_MILLIS - this.call.ageMillis();
 		return new PlacementDemand(this.call.service(), this.call.priority(),
@@ -180,6 +175,17 @@
 				this.call.route().maxPauseMillis(), unusable);
 	}
 
+	// Engines that this VM cannot reach, unless it can reach none.
+	private Set<String> unusableEngines() {
+		long now = System.nanoTime();
+		List<RegisteredEndpoint> engines = this.services.engines(this.call.service(), EndpointRole.DECODE);
+		Set<String> unusable = engines.stream()
+			.map(RegisteredEndpoint::id)
+			.filter((engine) -> !this.services.health().isUsable(engine, now))
+			.collect(Collectors.toSet());
+		return (unusable.size() < engines.size()) ? unusable : Set.of();
+	}
+
 	private DecodeReservation awaitLocalReservation() throws RejectionException {
 		AdmissionQueue queue = this.services.admissionQueue(this.call.service());
 		long latestOnTimeMillis = this.call.route().objectiveMillis() - TYPICAL_FIRST_EVENT_MILLIS;
--- a/server/src/test/java/org/banyanstile/server/scheduling/SchedulerFailureTests.java
+++ b/server/src/test/java/org/banyanstile/server/scheduling/SchedulerFailureTests.java
@@ -43,6 +43,8 @@
 
 	private static final long MEMORY = 10_000;
 
+	private static final long LARGE = 8000;
+
 	private static final long ALIVE_NANOS = 3_600_000_000_000L;
 
 	private final Map<String, Vm> vms = new LinkedHashMap<>();
@@ -87,7 +89,7 @@
 	}
 
 	private static PlacementDemand demand(long tokens) {
-		return new PlacementDemand("llm", 1, 100, tokens, 60_000, 60_000, 0, Set.of());
+		return new PlacementDemand("llm", 1, tokens - 50, tokens, 60_000, 60_000, 0, Set.of());
 	}
 
 	private PlacementAnswer await(SchedulerTicket ticket) throws Exception {
@@ -148,9 +150,9 @@
 	void waitingRequestIsServedByTheNextSchedulerWhenTheFirstIsKilled() throws Exception {
 		Vm scheduler = scheduler();
 		Vm vm = other(scheduler);
-		SchedulerTicket running = vm.client.open(demand(MEMORY));
+		SchedulerTicket running = vm.client.open(demand(LARGE));
 		await(running);
-		CompletableFuture<PlacementAnswer> waiting = wait(vm.client.open(demand(MEMORY)));
+		CompletableFuture<PlacementAnswer> waiting = wait(vm.client.open(demand(LARGE)));
 		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
 		while (scheduler.host.waiting() == 0 && System.nanoTime() < end) {
 			Thread.onSpinWait();
@@ -167,10 +169,10 @@
 	void nextSchedulerKnowsWhatRunsAndDoesNotPlaceOnFullEngines() throws Exception {
 		Vm scheduler = scheduler();
 		Vm vm = other(scheduler);
-		SchedulerTicket running = vm.client.open(demand(MEMORY));
+		SchedulerTicket running = vm.client.open(demand(LARGE));
 		await(running);
 		scheduler.dead = true;
-		SchedulerTicket next = vm.client.open(new PlacementDemand("llm", 1, 100, MEMORY, 2000, 1500, 0, Set.of()));
+		SchedulerTicket next = vm.client.open(new PlacementDemand("llm", 1, 100, LARGE, 2000, 1500, 0, Set.of()));
 		assertThat(await(next), is(not(instanceOf(PlacementAnswer.Placed.class))));
 	}
 
@@ -205,9 +207,9 @@
 		Vm scheduler = scheduler();
 		Vm vm = other(scheduler);
 		Vm cutOff = other(scheduler, vm);
-		String engine = engineOf(await(vm.client.open(demand(MEMORY))));
+		String engine = engineOf(await(vm.client.open(demand(LARGE))));
 		cutOff.client.silent(scheduler.name, System.nanoTime() + ALIVE_NANOS);
-		SchedulerTicket ticket = cutOff.client.open(demand(MEMORY));
+		SchedulerTicket ticket = cutOff.client.open(demand(LARGE));
 		String first = engineOf(await(ticket));
 		if (first.equals(engine)) {
 			ticket.engineRefused(first);
@@ -221,10 +223,10 @@
 		Vm scheduler = scheduler();
 		Vm killed = other(scheduler);
 		Vm vm = other(scheduler, killed);
-		await(killed.client.open(demand(MEMORY)));
+		await(killed.client.open(demand(LARGE)));
 		killed.dead = true;
 		this.skewNanos.addAndGet(3_200_000_000L);
-		assertThat(engineOf(await(vm.client.open(demand(MEMORY)))), is("d1"));
+		assertThat(engineOf(await(vm.client.open(demand(LARGE)))), is("d1"));
 	}
 
 	@Test
@@ -232,7 +234,7 @@
 		Vm scheduler = scheduler();
 		Vm vm = other(scheduler);
 		this.loses = (receiver, message) -> message instanceof PlacedReply || message instanceof ProgressReport;
-		SchedulerTicket ticket = vm.client.open(demand(MEMORY));
+		SchedulerTicket ticket = vm.client.open(demand(LARGE));
 		assertThat(await(ticket), is(instanceOf(PlacementAnswer.Unanswered.class)));
 		ticket.close(0);
 		this.loses = (receiver, message) -> message instanceof HoldingsReport;
@@ -240,7 +242,7 @@
 			.filter(PlacedReply.class::isInstance)
 			.toList()
 			.forEach((reply) -> vm.client.receive((PlacedReply) reply));
-		assertThat(engineOf(await(scheduler.client.open(demand(MEMORY)))), is("d1"));
+		assertThat(engineOf(await(scheduler.client.open(demand(LARGE)))), is("d1"));
 	}
 
 	/**
