Refuse on the estimate of a late start and test the scheduler

A request that could not be on time waited until it was late and was refused then, after 441 ms. Its wait now counts all that would go before a late one, so it is refused on arrival if it cannot be on time; large requests may wait 300 ms longer. Releases of an engine are sorted once for a pass, and a queue of more than 16 is decided on each 4 ms at most.

--- a/core/src/main/java/org/banyanstile/core/scheduling/ArrivalRates.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/ArrivalRates.java
@@ -21,8 +21,12 @@
 
 	void add(int priority, long tokens, long now) {
 		Rate rate = this.rates.computeIfAbsent(priority, (rank) -> new Rate());
-		rate.tokens = rate.tokensAt(now) + tokens;
-		rate.at = now;
+		rate.advance(now);
+		rate.tokens += tokens;
+	}
+
+	void advance(long now) {
+		this.rates.values().forEach((rate) -> rate.advance(now));
 	}
 
 	/**
@@ -30,16 +34,15 @@
 	 * @param priority its rank
 	 * @param late whether it is late, so that requests of its rank go before it as well
 	 * @param shares ranks as which the ranks are treated
-	 * @param now the current time in nanoseconds
 	 * @return tokens per millisecond
 	 */
-	double tokensPerMilli(int priority, boolean late, RankShares shares, long now) {
+	double precedingTokens(int priority, boolean late, RankShares shares) {
 		int rank = shares.treatedAs(priority);
 		double tokens = 0;
 		for (Map.Entry<Integer, Rate> entry : this.rates.entrySet()) {
 			int other = shares.treatedAs(entry.getKey());
 			if (other < rank || (late && other == rank)) {
-				tokens += entry.getValue().tokensAt(now);
+				tokens += entry.getValue().tokens;
 			}
 		}
 		return tokens / WINDOW_MILLIS;
@@ -51,8 +54,9 @@
 
 		private long at;
 
-		private double tokensAt(long now) {
-			return this.tokens * Math.exp((this.at - now) / NANOS_PER_MILLI / WINDOW_MILLIS);
+		private void advance(long now) {
+			this.tokens *= Math.exp((this.at - now) / NANOS_PER_MILLI / WINDOW_MILLIS);
+			this.at = now;
 		}
 
 	}
--- a/core/src/main/java/org/banyanstile/core/scheduling/Backlog.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/Backlog.java
@@ -13,9 +13,11 @@
  */
 final class Backlog {
 
-	private static final int BUCKET_MILLIS = 25;
+	private static final int BUCKET_MILLIS = 40;
 
-	private static final int BUCKETS = 480;
+	private static final int BUCKETS = 200;
+
+	private static final int FULL_BUCKET = (int) (EngineMemory.FULL_NANOS / 1_000_000) / BUCKET_MILLIS;
 
 	private final long[] freed = new long[BUCKETS];
 
@@ -49,9 +51,12 @@
 		Backlog backlog = new Backlog(times);
 		for (EngineMemory engine : ledger.decodeEngines()) {
 			backlog.memoryTokens += engine.memoryTokens();
-			for (Placed placed : engine.requests()) {
-				int at = (int) (times.remainingMillis(placed, now) / BUCKET_MILLIS);
-				backlog.freed[Math.min(at, BUCKETS - 1)] += placed.tokens();
+			if (engine.isFull(now)) {
+				backlog.freed[FULL_BUCKET] += Math.max(0, engine.memoryTokens() - engine.usedTokens());
+			}
+			for (EngineMemory.Release release : engine.releases(times, now)) {
+				int at = (int) (release.millis() / BUCKET_MILLIS);
+				backlog.freed[Math.min(at, BUCKETS - 1)] += release.tokens();
 			}
 		}
 		List<RegisteredEndpoint> engines = ledger.prefillEngines();
@@ -65,16 +70,27 @@
 	/**
 	 * Adds a request to the end of the queue for memory.
 	 * @param request the request
-	 * @param preceding tokens per millisecond of the requests that are expected to arrive
-	 * and to go before it
-	 * @return the time until memory is free for it and all ahead, in milliseconds
 	 */
-	double addMemory(GenerationRequest request, double preceding) {
+	void addMemory(GenerationRequest request) {
 		this.queuedTokens += request.tokens();
-		while (this.bucket < BUCKETS && this.available - preceding * this.bucket * BUCKET_MILLIS < this.queuedTokens) {
+		while (this.bucket < BUCKETS && this.available < this.queuedTokens) {
 			this.available += this.freed[this.bucket++];
 		}
-		return (double) this.bucket * BUCKET_MILLIS;
+	}
+
+	/**
+	 * Returns the time until memory is free for all requests in the queue.
+	 * @param preceding tokens per millisecond of the requests that are expected to arrive
+	 * and to go before the last
+	 * @return the time in milliseconds
+	 */
+	double memoryMillis(double preceding) {
+		int end = this.bucket;
+		long sum = this.available;
+		while (end < BUCKETS && sum - preceding * end * BUCKET_MILLIS < this.queuedTokens) {
+			sum += this.freed[end++];
+		}
+		return (double) end * BUCKET_MILLIS;
 	}
 
 	/**
--- a/core/src/main/java/org/banyanstile/core/scheduling/EngineMemory.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/EngineMemory.java
@@ -25,6 +25,10 @@
 
 	private final List<Placed> requests = new ArrayList<>();
 
+	private List<Release> releases = List.of();
+
+	private long releasesAt;
+
 	private String dataCentre = "";
 
 	private int capacity;
@@ -71,12 +75,9 @@
 		return this.usedTokens;
 	}
 
-	List<Placed> requests() {
-		return this.requests;
-	}
-
 	void add(Placed placed) {
 		this.requests.add(placed);
+		this.releases = List.of();
 		this.usedTokens += placed.tokens();
 	}
 
@@ -84,6 +85,7 @@
 		if (this.requests.remove(placed)) {
 			this.usedTokens -= placed.tokens();
 			this.full = false;
+			this.releases = List.of();
 		}
 	}
 
@@ -112,12 +114,7 @@
 		if (free >= tokens) {
 			return wait;
 		}
-		List<Release> releases = new ArrayList<>(this.requests.size());
-		for (Placed placed : this.requests) {
-			releases.add(new Release(times.remainingMillis(placed, now), placed.tokens()));
-		}
-		releases.sort(Comparator.comparingDouble(Release::millis));
-		for (Release release : releases) {
+		for (Release release : releases(times, now)) {
 			free += release.tokens();
 			if (free >= tokens) {
 				return release.millis();
@@ -126,6 +123,27 @@
 		return wait;
 	}
 
+	/**
+	 * Returns when memory is expected to become free.
+	 * @param times expected durations of streams
+	 * @param now the current time in nanoseconds
+	 * @return the releases, earliest first
+	 */
+	List<Release> releases(StreamTimes times, long now) {
+		if (this.releases.size() == this.requests.size() && this.releasesAt == now) {
+			return this.releases;
+		}
+		List<Release> sorted = new ArrayList<>(this.requests.size());
+		double tokenMillis = times.tokenMillis(this.id);
+		for (Placed placed : this.requests) {
+			sorted.add(new Release(times.remainingMillis(placed, tokenMillis, now), placed.tokens()));
+		}
+		sorted.sort(Comparator.comparingDouble(Release::millis));
+		this.releases = sorted;
+		this.releasesAt = now;
+		return sorted;
+	}
+
 	/**
 	 * Returns the memory that is expected to be free at a time.
 	 * @param millis time from now
@@ -135,15 +153,21 @@
 	 */
 	long freeTokensAfter(double millis, StreamTimes times, long now) {
 		long free = this.memoryTokens - this.usedTokens;
-		for (Placed placed : this.requests) {
-			if (times.remainingMillis(placed, now) <= millis) {
-				free += placed.tokens();
+		for (Release release : releases(times, now)) {
+			if (release.millis() <= millis) {
+				free += release.tokens();
 			}
 		}
 		return free;
 	}
 
-	private record Release(double millis, long tokens) {
+	/**
+	 * Memory that becomes free.
+	 *
+	 * @param millis expected time from now
+	 * @param tokens its tokens
+	 */
+	record Release(double millis, long tokens) {
 
 	}
 
--- a/core/src/main/java/org/banyanstile/core/scheduling/LeastCostScheduler.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/LeastCostScheduler.java
@@ -31,6 +31,20 @@
 	 */
 	static final long SILENT_NANOS = 3_000_000_000L;
 
+	/**
+	 * Length of a queue above which it is not decided on after each change, and the time
+	 * between two decisions then. Limits the load of a long queue on the VM.
+	 */
+	static final int LONG_QUEUE = 16;
+
+	static final long LONG_QUEUE_NANOS = 4_000_000;
+
+	/**
+	 * Excess of the expected wait over the time left that is tolerated for large requests
+	 * that go first. Their room comes from several streams, whose ends vary.
+	 */
+	static final double GATHERING_MILLIS = 300;
+
 	private final PrefillQueues prefills = new PrefillQueues();
 
 	private final StreamTimes times = new StreamTimes();
@@ -53,6 +67,8 @@
 
 	private final long startedAt;
 
+	private long decidedAt;
+
 	private List<String> engineIds = List.of();
 
 	private long nextNumber;
@@ -69,6 +85,7 @@
 
 	private LeastCostScheduler(long now) {
 		this.startedAt = now;
+		this.decidedAt = now;
 	}
 
 	/**
@@ -167,7 +184,11 @@
 		this.waiting.values().removeIf((request) -> !this.vmSeenAt.containsKey(request.request().vm()));
 		List<SchedulingDecision> decisions = new ArrayList<>(this.repeated);
 		this.repeated.clear();
+		if (this.waiting.size() > LONG_QUEUE && now - this.decidedAt < LONG_QUEUE_NANOS) {
+			return decisions;
+		}
 		if (now - this.startedAt >= START_NANOS && !this.waiting.isEmpty()) {
+			this.decidedAt = now;
 			decideWaiting(decisions, now);
 		}
 		else {
@@ -178,6 +199,7 @@
 
 	private void decideWaiting(List<SchedulingDecision> decisions, long now) {
 		this.shares.update();
+		this.arrivals.advance(now);
 		DecodeChoice engines = new DecodeChoice(this.ledger.decodeEngines(), this.prefills, this.times, now);
 		Backlog backlog = Backlog.of(this.ledger, this.prefills, this.times, now);
 		for (WaitingRequest request : this.order.sort(this.waiting.values(), this.times.overheadMillis(),
@@ -211,14 +233,8 @@
 			wait = Math.max(prefill.waitMillis(), backlog.addPrompt(request));
 		}
 		else {
-			double queue = Math.max(
-					backlog
-						.addMemory(request,
-								this.arrivals.tokensPerMilli(request.priority(),
-										waiting.slackMillis(startMillis, now) < 0, this.shares, now)),
-					backlog.addPrompt(request));
-			double room = engines.earmark(waiting);
-			wait = Double.isInfinite(room) ? queue : Math.max(room, backlog.prefillMillis());
+			wait = memoryMillis(waiting, waiting.slackMillis(startMillis, now), engines, backlog);
+			wait = Math.max(wait, backlog.addPrompt(request));
 		}
 		Refusals.Reason reason = Refusals.reason(waiting, wait, startMillis, this.times.streamMillis(request), now);
 		if (reason != null) {
@@ -229,6 +245,21 @@
 		return null;
 	}
 
+	private double memoryMillis(WaitingRequest waiting, double slackMillis, DecodeChoice engines, Backlog backlog) {
+		GenerationRequest request = waiting.request();
+		backlog.addMemory(request);
+		double room = engines.earmark(waiting);
+		double wait = Double.isInfinite(room)
+				? backlog.memoryMillis(this.arrivals.precedingTokens(request.priority(), false, this.shares)) : room;
+		double tolerance = this.shares.goesFirst(request) ? GATHERING_MILLIS : 0;
+		if (wait <= slackMillis + tolerance || this.ledger.decodeEngines().isEmpty()) {
+			return Math.min(wait, Math.max(0, slackMillis + tolerance));
+		}
+		// Requests that arrive later go before it once it is late.
+		return Math.max(wait,
+				backlog.memoryMillis(this.arrivals.precedingTokens(request.priority(), true, this.shares)));
+	}
+
 	private EnginePlacement place(WaitingRequest waiting, EngineMemory engine, PrefillChoice prefill,
 			DecodeChoice engines, long now) {
 		GenerationRequest request = waiting.request();
--- a/core/src/main/java/org/banyanstile/core/scheduling/QueueOrder.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/QueueOrder.java
@@ -56,7 +56,7 @@
 		int group = GROUPS * this.shares.treatedAs(request.priority()) + (this.shares.goesFirst(request) ? 0 : 1);
 		double slack = waiting.slackMillis(startMillis, now);
 		if (slack >= 0) {
-			return new Key(waiting, group, slack);
+			return new Key(waiting, group, (group % GROUPS == 0) ? -request.tokens() : slack);
 		}
 		boolean promoted = waiting.lateMillis(startMillis, now) >= PROMOTION_MILLIS;
 		return new Key(waiting, group + (promoted ? 2 : LATE), -waiting.waitedMillis(now));
--- a/core/src/main/java/org/banyanstile/core/scheduling/RankShares.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/RankShares.java
@@ -26,7 +26,13 @@
 	/**
 	 * Size of a large request relative to the usual size.
 	 */
-	static final double LARGE_FACTOR = 1.3;
+	static final double LARGE_FACTOR = 1.5;
+
+	/**
+	 * Share of the large requests relative to that of the others up to which they go
+	 * first. Above 1, since the very largest get less than the others of their class.
+	 */
+	static final double LARGE_SHARE = 1.1;
 
 	/**
 	 * Time in which the weight of a decision falls to a third, in milliseconds.
@@ -83,7 +89,7 @@
 	 */
 	boolean goesFirst(GenerationRequest request) {
 		Rank rank = this.ranks.get(request.priority());
-		return rank != null && isLarge(request) && rank.large.value() < rank.others.value();
+		return rank != null && isLarge(request) && rank.large.value() < LARGE_SHARE * rank.others.value();
 	}
 
 	private boolean isLarge(GenerationRequest request) {
--- a/core/src/main/java/org/banyanstile/core/scheduling/StreamTimes.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/StreamTimes.java
@@ -61,7 +61,12 @@
 		}
 	}
 
-	private double tokenMillis(String engine) {
+	/**
+	 * Returns the time of an output token at an engine.
+	 * @param engine the engine
+	 * @return the time in milliseconds
+	 */
+	double tokenMillis(String engine) {
 		return this.tokenMillis.getOrDefault(engine, this.meanTokenMillis);
 	}
 
@@ -98,12 +103,12 @@
 	/**
 	 * Returns the expected time until a placed request frees its memory.
 	 * @param placed the request
+	 * @param millisPerToken time of an output token at its engine
 	 * @param now the current time in nanoseconds
 	 * @return the time in milliseconds
 	 */
-	double remainingMillis(Placed placed, long now) {
-		double total = this.overheadMillis + placed.prefillMillis()
-				+ placed.outputTokens() * tokenMillis(placed.engine());
+	double remainingMillis(Placed placed, double millisPerToken, long now) {
+		double total = this.overheadMillis + placed.prefillMillis() + placed.outputTokens() * millisPerToken;
 		double age = (now - placed.placedAt()) / (double) NANOS_PER_MILLI;
 		return Math.max(total - age, OVERDUE_SHARE * total);
 	}
