--- a/core/src/main/java/org/banyanstile/core/scheduling/WaitingRequest.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/WaitingRequest.java
@@ -46,6 +46,7 @@
 	void renew(GenerationRequest repeated, long now) {
 		this.onTimeAt = Math.min(this.onTimeAt, now + repeated.onTimeMillis() * NANOS_PER_MILLI);
 		this.deadlineAt = Math.min(this.deadlineAt, now + repeated.deadlineMillis() * NANOS_PER_MILLI);
+		this.excludedEngines.clear();
 		this.excludedEngines.addAll(repeated.excludedEngines());
 	}
 
