--- a/server/src/main/java/org/banyanstile/server/canary/Rollouts.java
+++ b/server/src/main/java/org/banyanstile/server/canary/Rollouts.java
@@ -94,6 +94,16 @@
 		return known;
 	}
 
+	/**
+	 * Returns whether the operator has ordered a rollout of a service, whatever its
+	 * stage.
+	 * @param service name of the service
+	 * @return whether there is an order
+	 */
+	public boolean hasOrder(String service) {
+		return rollout(service) != null;
+	}
+
 	Collection<ServiceRollout> all() {
 		return this.rollouts.values();
 	}
--- a/server/src/main/java/org/banyanstile/server/gossip/Membership.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/Membership.java
@@ -219,8 +219,9 @@
 	 * @return the VM, this one if no other is left
 	 */
 	public synchronized GossipMember preferred(String key, Set<String> avoided, long now) {
+		boolean leaving = this.self.state() == MemberState.LEAVING.ordinal();
 		GossipMember best = this.self;
-		long bestScore = RendezvousHash.score(key, this.self.vm());
+		long bestScore = leaving ? 0 : RendezvousHash.score(key, this.self.vm());
 		for (Entry entry : this.entries.values()) {
 			GossipMember member = entry.member();
 			if (now - entry.advancedAt() > deadNanos() || member.state() != MemberState.SERVING.ordinal()
--- a/server/src/main/java/org/banyanstile/server/scheduling/SchedulerTicket.java
+++ b/server/src/main/java/org/banyanstile/server/scheduling/SchedulerTicket.java
@@ -24,7 +24,7 @@
 	/**
 	 * Time after which an acknowledged request is renewed.
 	 */
-	private static final long RENEW_NANOS = 1_000_000_000L;
+	private static final long RENEW_NANOS = 250_000_000L;
 
 	/**
 	 * Number of messages without a reply after which another scheduler is asked.
