Double the pause of an engine that refuses reservations again

Cause: the scheduler took a crashed engine, whose streams had ended, for the one with the most room, and tried it again each 200 ms, with several requests at once.

Change: each further refusal in a row doubles the pause of the engine, up to 1.6 s; a stream with events ends the row.

--- a/core/src/main/java/org/banyanstile/core/scheduling/EngineMemory.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/EngineMemory.java
@@ -19,6 +19,11 @@
 	 */
 	static final long FULL_NANOS = 200_000_000;
 
+	/**
+	 * Limits the pause of an engine that refuses again and again, to 1.6 s.
+	 */
+	private static final int MAX_DOUBLINGS = 3;
+
 	private static final double NANOS_PER_MILLI = 1_000_000;
 
 	private final String id;
@@ -41,6 +46,8 @@
 
 	private boolean full;
 
+	private int refusals;
+
 	EngineMemory(String id) {
 		this.id = id;
 	}
@@ -84,14 +91,29 @@
 	void remove(Placed placed) {
 		if (this.requests.remove(placed)) {
 			this.usedTokens -= placed.tokens();
-			this.full = false;
+			this.full &= this.refusals > 1;
 			this.releases = List.of();
 		}
 	}
 
+	/**
+	 * Records that the engine refused a reservation or did not respond to it. An engine
+	 * that does so again after its pause has probably failed, so the pause doubles.
+	 * @param now the current time in nanoseconds
+	 */
 	void refused(long now) {
+		if (!this.full || now - this.fullUntil >= 0) {
+			this.refusals++;
+		}
 		this.full = true;
-		this.fullUntil = now + FULL_NANOS;
+		this.fullUntil = now + (FULL_NANOS << Math.min(this.refusals - 1, MAX_DOUBLINGS));
+	}
+
+	/**
+	 * Records that a stream of the engine had events, so that it has not failed.
+	 */
+	void served() {
+		this.refusals = 0;
 	}
 
 	boolean isFull(long now) {
--- a/core/src/main/java/org/banyanstile/core/scheduling/PlacementLedger.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/PlacementLedger.java
@@ -137,6 +137,9 @@
 		Placed ended = this.placed.get(requestId);
 		if (ended != null) {
 			this.times.ended(ended, streamMillis, now);
+			if (streamMillis > 0) {
+				memory(ended.engine()).served();
+			}
 			remove(ended, now);
 		}
 	}
