--- a/core/src/main/java/org/banyanstile/core/scheduling/LeastCostScheduler.java
+++ b/core/src/main/java/org/banyanstile/core/scheduling/LeastCostScheduler.java
@@ -255,7 +255,9 @@
 		if (wait <= slackMillis + tolerance || this.ledger.decodeEngines().isEmpty()) {
 			return Math.min(wait, Math.max(0, slackMillis + tolerance));
 		}
-		return wait;
+		// Requests that arrive later go before it once it is late.
+		return Math.max(wait,
+				backlog.memoryMillis(this.arrivals.precedingTokens(request.priority(), true, this.shares)));
 	}
 
 	private EnginePlacement place(WaitingRequest waiting, EngineMemory engine, PrefillChoice prefill,
