--- a/benchmark/src/main/java/org/banyanstile/benchmark/HttpClientCostMain.java
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/HttpClientCostMain.java
@@ -29,8 +29,8 @@
 
 	private static final int MAX_BODY_BYTES = 1_000_000;
 
-	private static final String FIELDS = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: a1\r\n"
-			+ "X-Response-Seal: 0123456789abcdef\r\n";
+	private static final String FIELDS = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: a1\r\n"
+			+ "X-Signature: 0123456789abcdef\r\n";
 
 	private HttpClientCostMain() {
 	}
--- a/server/src/main/java/org/banyanstile/server/router/RequestExplainer.java
+++ b/server/src/main/java/org/banyanstile/server/router/RequestExplainer.java
@@ -123,11 +123,12 @@
 	private Explanation placePlain(Draft draft) {
 		String service = draft.service();
 		List<RegisteredEndpoint> endpoints = this.services.view().snapshot().usable(service, EndpointRole.PLAIN);
-		draft.add("plain", this.ranking.plain(endpoints, System.nanoTime()));
-		if (endpoints.isEmpty()) {
+		List<CandidateEndpoint> ranked = this.ranking.plain(endpoints, System.nanoTime());
+		draft.add("plain", ranked);
+		if (ranked.isEmpty()) {
 			return draft.refuse(503, "no endpoint of the service takes new work");
 		}
-		CandidateEndpoint first = this.ranking.plain(endpoints, System.nanoTime()).get(0);
+		CandidateEndpoint first = ranked.get(0);
 		explainLimit(draft, first.id());
 		return draft.send(first.id(), null, "its expected response time is the shortest of " + endpoints.size());
 	}
