--- a/review/stand-ins-2/src/EndlessBodyCase.java
+++ b/review/stand-ins-2/src/EndlessBodyCase.java
@@ -51,10 +51,15 @@
 		this.fleet = new Fleet(root);
 	}
 
-	public static void main(String[] args) throws Exception {
-		EndlessBodyCase test = new EndlessBodyCase(Path.of(args[0]), Path.of(args[1]));
-		int result = test.run(String.valueOf(System.getenv("TROUBLE")));
-		test.fleet.close();
+	public static void main(String[] args) {
+		int result = 2;
+		try {
+			result = new EndlessBodyCase(Path.of(args[0]), Path.of(args[1])).run(String.valueOf(System.getenv("TROUBLE")));
+		}
+		catch (Exception ex) {
+			ex.printStackTrace();
+		}
+		// Ends the processes too.
 		System.exit(result);
 	}
 
--- a/review/stand-ins-2/src/Fleet.java
+++ b/review/stand-ins-2/src/Fleet.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** A small deployment: the store, machines and runners. Ends all that it started. */
-final class Fleet implements AutoCloseable {
+/** A small deployment: the store, machines and runners. Ends all processes at the end. */
+final class Fleet {
 
 	static final String CONFIG = """
 			{"version":3,"routes":[
@@ -97,9 +97,4 @@
 		}
 	}
 
-	@Override
-	public void close() throws Exception {
-		killAll();
-	}
-
 }
--- a/review/stand-ins-2/src/LeavingNoticeCase.java
+++ b/review/stand-ins-2/src/LeavingNoticeCase.java
@@ -52,11 +52,15 @@
 		this.fleet = new Fleet(root);
 	}
 
-	public static void main(String[] args) throws Exception {
-		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-		LeavingNoticeCase test = new LeavingNoticeCase(Path.of(args[0]), Path.of(args[1]));
-		int result = test.run(trouble);
-		test.fleet.close();
+	public static void main(String[] args) {
+		int result = 2;
+		try {
+			result = new LeavingNoticeCase(Path.of(args[0]), Path.of(args[1])).run(!"0".equals(System.getenv("TROUBLE")));
+		}
+		catch (Exception ex) {
+			ex.printStackTrace();
+		}
+		// Ends the processes too.
 		System.exit(result);
 	}
 
--- a/review/stand-ins-2/src/LeftRunnerCase.java
+++ b/review/stand-ins-2/src/LeftRunnerCase.java
@@ -68,11 +68,15 @@
 		this.fleet = new Fleet(root);
 	}
 
-	public static void main(String[] args) throws Exception {
-		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-		LeftRunnerCase test = new LeftRunnerCase(Path.of(args[0]), Path.of(args[1]));
-		int result = test.run(trouble);
-		test.fleet.close();
+	public static void main(String[] args) {
+		int result = 2;
+		try {
+			result = new LeftRunnerCase(Path.of(args[0]), Path.of(args[1])).run(!"0".equals(System.getenv("TROUBLE")));
+		}
+		catch (Exception ex) {
+			ex.printStackTrace();
+		}
+		// Ends the processes too.
 		System.exit(result);
 	}
 
@@ -140,16 +144,20 @@
 		for (int i = 1; i <= REPLACED_MACHINES; i++) {
 			Vm old = this.fleet.vms.get(i);
 			Vm vm = this.fleet.vm(30 + i);
-			this.record.line(vm.name + " starts");
-			vm.start();
-			vm.awaitReady(5000);
-			this.record.line(vm.name + " is ready, SIGTERM to " + old.name);
-			this.readySince.remove(old.ip + ":8221");
-			Threads.start("terminate", old::terminate);
-			Threads.pause(300);
+			Threads.start("replace", () -> replaceMachine(old, vm));
+			Threads.pause(900);
 		}
 	}
 
+	private void replaceMachine(Vm old, Vm vm) throws Exception {
+		this.record.line(vm.name + " starts");
+		vm.start();
+		vm.awaitReady(10_000);
+		this.record.line(vm.name + " is ready, SIGTERM to " + old.name);
+		this.readySince.remove(old.ip + ":8221");
+		old.terminate();
+	}
+
 	private boolean work(Runner runner, Http.Message request, java.io.OutputStream out) throws Exception {
 		String id = request.header("x-attempt-id");
 		Sent from = this.sent.get(String.valueOf(id));
--- a/review/stand-ins-2/src/ResumeCase.java
+++ b/review/stand-ins-2/src/ResumeCase.java
@@ -46,11 +46,15 @@
 		this.fleet = new Fleet(root);
 	}
 
-	public static void main(String[] args) throws Exception {
-		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-		ResumeCase test = new ResumeCase(Path.of(args[0]), Path.of(args[1]));
-		int result = test.run(trouble);
-		test.fleet.close();
+	public static void main(String[] args) {
+		int result = 2;
+		try {
+			result = new ResumeCase(Path.of(args[0]), Path.of(args[1])).run(!"0".equals(System.getenv("TROUBLE")));
+		}
+		catch (Exception ex) {
+			ex.printStackTrace();
+		}
+		// Ends the processes too.
 		System.exit(result);
 	}
 
