--- a/review/stand-ins-2/src/Fleet.java
+++ b/review/stand-ins-2/src/Fleet.java
@@ -1,3 +1,4 @@
+import java.io.File;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -41,7 +42,7 @@
 		this.root = root;
 		this.folder = Files.createTempDirectory("review");
 		this.store.put("op", "config", CONFIG);
-		Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
+		Runtime.getRuntime().addShutdownHook(new Thread(this::end));
 	}
 
 	/** Names machines that were removed for good as seeds. */
@@ -86,7 +87,7 @@
 		return false;
 	}
 
-	private void killAll() {
+	private void end() {
 		for (Vm vm : this.vms) {
 			try {
 				vm.kill();
@@ -95,6 +96,11 @@
 				Thread.currentThread().interrupt();
 			}
 		}
+		File[] files = this.folder.toFile().listFiles();
+		for (File file : (files != null) ? files : new File[0]) {
+			file.delete();
+		}
+		this.folder.toFile().delete();
 	}
 
 }
