--- a/review/stand-ins-2/src/EndlessBodyCase.java
+++ b/review/stand-ins-2/src/EndlessBodyCase.java
@@ -98,7 +98,7 @@
 			this.record.line("all processes are started");
 		}
 		this.backAt = this.record.millis();
-		Threads.pause(RECOVERY_MILLIS + 10_000);
+		Threads.pause(RECOVERY_MILLIS + 25_000);
 		this.stopped = true;
 		Threads.pause(6000);
 		return judge();
