Show the era of the store in the log and the metrics

The era that the store names in its responses is logged when it changes, with the versions of both copies, and is a gauge. No logic changes: nothing else reads it yet.

--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -168,6 +168,7 @@
 		Rollouts rollouts = Rollouts.create(view, loads, ticker, log);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 		RouterMetrics metrics = new RouterMetrics(registry);
+		metrics.bindStoreEra(platform.source());
 		RouterServices services = new RouterServices(settings, view, roleChanges, platform.requests(),
 				platform.engines(), loads, health, EndpointPicker.create(loads, health, new Random()),
 				new EndpointClient(platform.client(), platform.requests(), health, limits, log, metrics), limits,
--- a/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterMetrics.java
@@ -19,6 +19,7 @@
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.limit.BodyBudget;
 import org.banyanstile.io.http.MalformedResponseException;
+import org.banyanstile.server.view.TableSource;
 
 /**
  * Counters and histograms of the request path.
@@ -61,6 +62,14 @@
 			.register(this.registry);
 	}
 
+	/**
+	 * Registers the era of the store.
+	 * @param store the store
+	 */
+	void bindStoreEra(TableSource store) {
+		Gauge.builder("banyanstile_store_era", store, TableSource::era).register(this.registry);
+	}
+
 	/**
 	 * Registers the counters of exchanges that ended without a response.
 	 * @param exchanges the exchanges
--- a/server/src/main/java/org/banyanstile/server/view/FleetReader.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetReader.java
@@ -65,6 +65,8 @@
 
 	private volatile boolean reachable = true;
 
+	private long loggedEra = -1;
+
 	private FleetReader(TableSource source, FleetView view, IntSupplier rank, DecisionLog log) {
 		this.source = source;
 		this.view = view;
@@ -111,11 +113,14 @@
 				read(table, readWhole);
 				readWhole = false;
 				failures = 0;
+				logEra();
 				setReachable(true, "");
 				pause((table == FleetTable.ENDPOINTS) ? ENDPOINT_PAUSE_MILLIS : 0);
 			}
 			catch (HistoryLostException ex) {
-				this.log.stateChange("history lost", "table", table, "version", this.view.version(table));
+				logEra();
+				this.log.stateChange("history lost", "table", table, "version", this.view.version(table), "era",
+						this.source.era());
 				readWhole = true;
 			}
 			catch (TableSourceException ex) {
@@ -145,6 +150,16 @@
 		this.view.apply(table, after, this.source.changes(table, after, wait));
 	}
 
+	private synchronized void logEra() {
+		long era = this.source.era();
+		if (era != this.loggedEra) {
+			this.log.lifecycle("store era", "era", era, "previous", this.loggedEra, "operatorVersion",
+					this.view.version(FleetTable.OPERATOR), "endpointVersion", this.view.version(FleetTable.ENDPOINTS),
+					"storeMillis", this.view.storeMillis(FleetTable.OPERATOR));
+			this.loggedEra = era;
+		}
+	}
+
 	private void setReachable(boolean now, String reason) {
 		if (now != this.reachable) {
 			this.reachable = now;
--- a/server/src/main/java/org/banyanstile/server/view/TableSource.java
+++ b/server/src/main/java/org/banyanstile/server/view/TableSource.java
@@ -15,6 +15,13 @@
  */
 public interface TableSource {
 
+	/**
+	 * Returns the highest era that a response of the store named. A store that returns
+	 * from a copy begins a new era, in which it gives out versions again.
+	 * @return the era, 0 before the first response
+	 */
+	long era();
+
 	/**
 	 * Reads a whole table.
 	 * @param table the table
--- a/server/src/test/java/org/banyanstile/server/canary/RolloutControllerTests.java
+++ b/server/src/test/java/org/banyanstile/server/canary/RolloutControllerTests.java
@@ -306,6 +306,11 @@
 			}
 		}
 
+		@Override
+		public long era() {
+			return 0;
+		}
+
 		@Override
 		public TableRead readAll(FleetTable table) {
 			return new TableRead(List.of(), 0, 0);
--- a/server/src/test/java/org/banyanstile/server/gossip/VmRegistrationTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/VmRegistrationTests.java
@@ -126,6 +126,11 @@
 			return this.rows.stream().map(VmRow::vm).toList();
 		}
 
+		@Override
+		public long era() {
+			return 0;
+		}
+
 		@Override
 		public TableRead readAll(FleetTable table) throws TableSourceException {
 			throw new TableSourceException("no table " + table, null);
--- a/server/src/test/java/org/banyanstile/server/view/FleetReaderTests.java
+++ b/server/src/test/java/org/banyanstile/server/view/FleetReaderTests.java
@@ -218,6 +218,11 @@
 	 */
 	private abstract static class EmptySource implements TableSource {
 
+		@Override
+		public long era() {
+			return 0;
+		}
+
 		@Override
 		public void register(String vm, String peerAddress) {
 			// Other VMs are not part of these tests.
