Order the states of the store by era and version

Cause: a VM took a version of the store for proof of what is newer. The store had returned from a copy and gave its versions out again, so whole reads and changes under lower versions were ignored, and the feed after the own version was refused until the store's counter had passed it.

A version now holds the era in its high bits, so copies, datagrams and conditions compare as before and an earlier era can never win again. A new era begins with a whole read. What was known stays in force meanwhile: a row that the store lacks until entries are restored (2 s for endpoints, 5 s for the operator's rows), a removal for 5 s, a value that its writer calls newer (the operator's version; start and number of writes of an endpoint) until the row is written again. VMs tell each other the operator's version, so that one that was not up before the return takes over a configuration that the copy lacks. A whole read that the next call contradicts is not repeated at once.

--- a/benchmark/src/main/java/org/banyanstile/benchmark/GossipSlopes.java
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/GossipSlopes.java
@@ -54,7 +54,7 @@
 			.mapToObj((i) -> new GossipUse("team" + i, 1_000_000L + i))
 			.toList();
 		return new GossipState(member(0, heartbeat), members, loads, uses, List.of(), List.of(), List.of(),
-				List.of(1000L, 2000L), List.of(50_000_000L, 50_000_000L), false, GossipEngines.none());
+				List.of(1000L, 2000L), List.of(50_000_000L, 50_000_000L), false, GossipEngines.none(), 1L);
 	}
 
 	private static void datagrams(SlopeTable table, int vms) {
--- a/core/src/main/java/org/banyanstile/core/replica/TableReplica.java
+++ b/core/src/main/java/org/banyanstile/core/replica/TableReplica.java
@@ -1,6 +1,7 @@
 package org.banyanstile.core.replica;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -16,6 +17,12 @@
  * Copy of a table of the store. Changes come from the store's feed or from other VMs, in
  * any order and more than once; a row is never replaced by an older version. Not safe for
  * use by several threads.
+ * <p>
+ * Versions are those of {@link StoreVersion}. When the store has returned from a copy, it
+ * lacks what was written last until its writers write it again. What was known before
+ * stays in force meanwhile: a row that the store lacks until {@link #dropUnconfirmed()},
+ * and a removal, or a value that cannot be told to be older, until
+ * {@link #applyWithheld()}, unless the row is written in the new era.
  *
  * @author banyanstile contributors
  */
@@ -27,16 +34,45 @@
 	 */
 	static final int MAX_REMOVED = 512;
 
+	private final ValueOrder order;
+
 	private final Map<String, ReplicaRow> rows = new HashMap<>();
 
 	private final Map<String, ReplicaRow> removed = new LinkedHashMap<>();
 
+	/**
+	 * Rows of the store that are not in force yet, since they may be older than what was
+	 * known before the store returned.
+	 */
+	private final Map<String, ReplicaRow> withheld = new HashMap<>();
+
 	private long complete = -1;
 
 	private long discardedVersion = -1;
 
 	private long storeMillis = -1;
 
+	private TableReplica(ValueOrder order) {
+		this.order = order;
+	}
+
+	/**
+	 * Creates an empty copy of a table whose values do not tell which one is newer.
+	 * @return the copy
+	 */
+	public static TableReplica create() {
+		return new TableReplica(ValueOrder.UNKNOWN);
+	}
+
+	/**
+	 * Creates an empty copy of a table.
+	 * @param order order of its values
+	 * @return the copy
+	 */
+	public static TableReplica create(ValueOrder order) {
+		return new TableReplica(order);
+	}
+
 	/**
 	 * Returns the version up to which all changes are known.
 	 * @return the version, -1 if the table was never read
@@ -55,13 +91,27 @@
 	}
 
 	/**
-	 * Returns the present rows.
+	 * Returns the rows in force.
 	 * @return the rows
 	 */
 	public Collection<ReplicaRow> rows() {
 		return this.rows.values();
 	}
 
+	/**
+	 * Returns the rows as the store holds them, without those that it lacked when it
+	 * returned.
+	 * @return the rows
+	 */
+	public List<ReplicaRow> storeRows() {
+		List<ReplicaRow> present = new ArrayList<>(this.withheld.values());
+		this.rows.values()
+			.stream()
+			.filter((row) -> !isUnconfirmed(row) && !this.withheld.containsKey(row.key()))
+			.forEach(present::add);
+		return present;
+	}
+
 	/**
 	 * Returns a present row.
 	 * @param key its key
@@ -83,9 +133,12 @@
 		if (version < this.complete) {
 			return changed;
 		}
+		if (isOtherEra(version)) {
+			return beginEra(all, version, millis);
+		}
 		Map<String, ReplicaRow> fresh = new HashMap<>();
 		all.forEach((row) -> fresh.put(row.key(), row));
-		for (ReplicaRow old : List.copyOf(this.rows.values())) {
+		for (ReplicaRow old : storeRows()) {
 			if (!fresh.containsKey(old.key()) && old.version() <= version) {
 				put(new ReplicaRow(old.key(), version, null), changed);
 			}
@@ -95,8 +148,94 @@
 		return changed;
 	}
 
+	private boolean isOtherEra(long version) {
+		return this.complete >= 0 && !StoreVersion.isSameEra(version, this.complete);
+	}
+
+	// A row that the store lacked when it returned keeps its version of the earlier era.
+	private boolean isUnconfirmed(ReplicaRow row) {
+		return this.complete >= 0 && StoreVersion.era(row.version()) < StoreVersion.era(this.complete);
+	}
+
+	private Set<String> beginEra(Collection<ReplicaRow> all, long version, long millis) {
+		Set<String> changed = new TreeSet<>();
+		this.withheld.clear();
+		for (ReplicaRow row : all) {
+			ReplicaRow known = this.rows.get(row.key());
+			if (known != null) {
+				beginEra(row, known, changed);
+			}
+			else if (this.removed.containsKey(row.key())) {
+				this.withheld.put(row.key(), row);
+			}
+			else {
+				this.rows.put(row.key(), row);
+				changed.add(row.key());
+			}
+		}
+		// Another VM that is still in the earlier era gets the whole table.
+		this.discardedVersion = version;
+		this.complete = version;
+		this.storeMillis = millis;
+		return changed;
+	}
+
+	private void beginEra(ReplicaRow row, ReplicaRow known, Set<String> changed) {
+		if (Arrays.equals(row.value(), known.value())) {
+			this.rows.put(row.key(), row);
+			return;
+		}
+		int age = compare(row, known);
+		if (age == 0) {
+			this.withheld.put(row.key(), row);
+		}
+		else if (age < 0) {
+			this.rows.put(row.key(), new ReplicaRow(row.key(), row.version(), known.value()));
+		}
+		else {
+			this.rows.put(row.key(), row);
+			changed.add(row.key());
+		}
+	}
+
+	private int compare(ReplicaRow row, ReplicaRow other) {
+		byte[] value = row.value();
+		byte[] otherValue = other.value();
+		return (value != null && otherValue != null) ? this.order.compare(row.key(), value, otherValue) : 0;
+	}
+
+	/**
+	 * Drops the rows that the store lacked when it returned and that were not written
+	 * since.
+	 * @return the keys that changed
+	 */
+	public Set<String> dropUnconfirmed() {
+		Set<String> changed = new TreeSet<>();
+		for (ReplicaRow row : List.copyOf(this.rows.values())) {
+			if (isUnconfirmed(row) && !this.withheld.containsKey(row.key())) {
+				this.rows.remove(row.key());
+				changed.add(row.key());
+			}
+		}
+		return changed;
+	}
+
+	/**
+	 * Puts the rows into force that may have been older than what was known before the
+	 * store returned.
+	 * @return the keys that changed
+	 */
+	public Set<String> applyWithheld() {
+		Set<String> changed = new TreeSet<>(this.withheld.keySet());
+		this.rows.putAll(this.withheld);
+		this.removed.keySet().removeAll(changed);
+		this.withheld.clear();
+		return changed;
+	}
+
 	/**
-	 * Applies changes that follow a known version.
+	 * Applies changes that follow a known version. Changes of another era have no effect,
+	 * since only the whole table shows what they follow.
 	 * @param changes changed and removed rows
 	 * @param after all changes after this version are included
 	 * @param version the version up to which they are complete
@@ -105,6 +244,9 @@
 	 */
 	public Set<String> apply(Collection<ReplicaRow> changes, long after, long version, long millis) {
 		Set<String> changed = new TreeSet<>();
+		if (isOtherEra(version)) {
+			return changed;
+		}
 		changes.forEach((row) -> put(row, changed));
 		if (after <= this.complete) {
 			advance(version, millis);
@@ -118,14 +260,19 @@
 	}
 
 	private void put(ReplicaRow row, Set<String> changed) {
+		ReplicaRow held = this.withheld.get(row.key());
+		if (held != null && held.version() >= row.version()) {
+			return;
+		}
 		ReplicaRow old = this.rows.get(row.key());
-		if (old != null && old.version() >= row.version()) {
+		if (old != null && !isNewer(row, old)) {
 			return;
 		}
 		ReplicaRow removal = this.removed.get(row.key());
 		if (removal != null && removal.version() >= row.version()) {
 			return;
 		}
+		this.withheld.remove(row.key());
 		this.removed.remove(row.key());
 		if (row.value() != null) {
 			this.rows.put(row.key(), row);
@@ -139,6 +286,12 @@
 		discardOldestRemovals();
 	}
 
+	// A VM that was up before the store returned can hold a newer value under the same
+	// version.
+	private boolean isNewer(ReplicaRow row, ReplicaRow old) {
+		return (row.version() != old.version()) ? row.version() > old.version() : compare(row, old) > 0;
+	}
+
 	private void discardOldestRemovals() {
 		Iterator<ReplicaRow> oldest = this.removed.values().iterator();
 		while (this.removed.size() > MAX_REMOVED && oldest.hasNext()) {
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -289,7 +289,7 @@
 		List<GossipMember> peers = withMembers ? this.membership.alivePeers(this.ticker.nanos()) : List.of();
 		return new GossipState(this.membership.self(), peers, this.local.loads(), this.local.uses(),
 				this.local.roleChanges(), this.local.crashes(), this.local.limits(), versions, millis, reply,
-				this.local.engines());
+				this.local.engines(), this.view.configurationVersion());
 	}
 
 	private void send(ByteBuffer datagram, SocketAddress target) {
@@ -349,29 +349,50 @@
 		boolean behind = false;
 		for (int i = 0; i < Math.min(TABLE_COUNT, state.versions().size()); i++) {
 			FleetTable table = FleetTable.values()[i];
-			if (state.versions().get(i) < this.view.version(table)
-					|| state.millis().get(i) < this.view.storeMillis(table)) {
+			int order = compare(table, state.versions().get(i), state.millis().get(i));
+			if (order < 0) {
 				sendRows(table, state.versions().get(i), sender);
 			}
-			behind |= state.versions().get(i) > this.view.version(table)
-					|| state.millis().get(i) > this.view.storeMillis(table);
+			behind |= order > 0;
 		}
 		if (behind && !state.reply()) {
 			send(ByteBuffer.wrap(this.codec.encode(new Message(Message.ONE_WAY, state(true, true)))), sender);
 		}
+		sendConfigurationIfNewer(state, sender);
+	}
+
+	// The store's clock orders confirmations of one version only.
+	private int compare(FleetTable table, long version, long millis) {
+		int order = Long.compare(version, this.view.version(table));
+		return (order != 0) ? order : Long.compare(millis, this.view.storeMillis(table));
+	}
+
+	// Two VMs that have the same version of the table differ in the configuration if one
+	// of them was not up before the store returned from a copy without it.
+	private void sendConfigurationIfNewer(GossipState state, SocketAddress sender) throws IOException {
+		Long configuration = state.configuration();
+		if (configuration == null || configuration >= this.view.configurationVersion()
+				|| state.versions().get(FleetTable.OPERATOR.ordinal()) != this.view.version(FleetTable.OPERATOR)) {
+			return;
+		}
+		TableRead read = this.view.configuration();
+		send(FleetTable.OPERATOR, false, read.version(), read, sender);
 	}
 
 	private void sendRows(FleetTable table, long after, SocketAddress target) throws IOException {
 		FleetView.MissingRows missing = this.view.changesAfter(table, after);
-		TableRead read = missing.read();
+		send(table, missing.whole(), after, missing.read(), target);
+	}
+
+	private void send(FleetTable table, boolean whole, long after, TableRead read, SocketAddress target)
+			throws IOException {
 		List<GossipRow> rows = new ArrayList<>();
 		for (ReplicaRow row : read.rows()) {
 			byte[] value = row.value();
 			rows.add(new GossipRow(row.key(), row.version(),
 					(value != null) ? RowCompression.compress(value) : new byte[0]));
 		}
-		GossipRows message = new GossipRows(table.ordinal(), missing.whole(), after, read.version(), read.millis(),
-				rows);
+		GossipRows message = new GossipRows(table.ordinal(), whole, after, read.version(), read.millis(), rows);
 		send(ByteBuffer.wrap(this.codec.encode(new Message(Message.ONE_WAY, message))), target);
 	}
 
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipState.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipState.java
@@ -20,10 +20,12 @@
  * @param reply whether this replies to another state, and needs no reply itself
  * @param engines what it has observed of engines, {@code null} from a VM that does not
  * send it
+ * @param configuration the operator's version of the configuration in force, -1 for none,
+ * {@code null} from a VM that does not send it
  * @author banyanstile contributors
  */
 public record GossipState(GossipMember self, List<GossipMember> members, List<GossipLoad> loads, List<GossipUse> uses,
 		List<GossipRoleChange> roleChanges, List<GossipCrashes> crashes, List<GossipLimit> limits, List<Long> versions,
-		List<Long> millis, boolean reply, @Nullable GossipEngines engines) {
+		List<Long> millis, boolean reply, @Nullable GossipEngines engines, @Nullable Long configuration) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/view/FleetReader.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetReader.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.function.IntSupplier;
 
+import org.banyanstile.core.replica.StoreVersion;
 import org.banyanstile.server.router.DecisionLog;
 
 /**
@@ -103,6 +104,7 @@
 	private void run(FleetTable table) {
 		long failures = 0;
 		boolean readWhole = true;
+		boolean followsWholeRead = false;
 		while (!this.closed) {
 			long millisUntilDue = millisUntilDue(this.view.millisSinceConfirmation(table));
 			if (!readWhole && millisUntilDue > 0) {
@@ -111,6 +113,7 @@
 			}
 			try {
 				read(table, readWhole);
+				followsWholeRead = readWhole;
 				readWhole = false;
 				failures = 0;
 				logEra();
@@ -119,9 +122,11 @@
 			}
 			catch (HistoryLostException ex) {
 				logEra();
-				this.log.stateChange("history lost", "table", table, "version", this.view.version(table), "era",
-						this.source.era());
+				this.log.stateChange("history lost", "table", table, "version",
+						StoreVersion.toText(this.view.version(table)), "era", this.source.era());
 				readWhole = true;
+				// A whole read that the next call contradicts is not repeated at once.
+				pause(followsWholeRead ? MAX_BACKOFF_MILLIS : 0);
 			}
 			catch (TableSourceException ex) {
 				setReachable(false, String.valueOf(ex.getMessage()));
--- a/server/src/main/java/org/banyanstile/server/view/FleetView.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetView.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 
@@ -15,6 +16,7 @@
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.common.Ticker;
 import org.banyanstile.core.replica.ReplicaRow;
+import org.banyanstile.core.replica.StoreVersion;
 import org.banyanstile.core.replica.TableReplica;
 import org.banyanstile.server.router.DecisionLog;
 import org.jspecify.annotations.Nullable;
@@ -49,6 +51,19 @@
 	 */
 	private static final int MAX_MALFORMED_BYTES = 2048;
 
+	/**
+	 * Time from the store's return from a copy after which an endpoint that it still
+	 * lacks is gone. The platform restores entries within two seconds.
+	 */
+	static final long RESTORE_NANOS = 2_000_000_000L;
+
+	/**
+	 * Time from the store's return after which its rows count whatever was known before.
+	 * The operator has written again by then, and the entries of endpoints that left
+	 * since the copy have expired.
+	 */
+	static final long RETURN_GRACE_NANOS = 5_000_000_000L;
+
 	private final RowDecoder decoder;
 
 	private final Ticker ticker;
@@ -79,6 +94,16 @@
 
 	private @Nullable Catalog catalog;
 
+	private String catalogKey = "";
+
+	private byte[] catalogValue = new byte[0];
+
+	/**
+	 * Times in nanoseconds at which this VM learned that the store had returned from a
+	 * copy, while rows may still be missing.
+	 */
+	private final Map<FleetTable, Long> returnedAt = new EnumMap<>(FleetTable.class);
+
 	private volatile FleetSnapshot snapshot = new FleetSnapshot(null, Map.of(), Map.of(), Set.of(), Map.of());
 
 	private FleetView(RowDecoder decoder, Ticker ticker, DecisionLog log) {
@@ -88,7 +113,8 @@
 		this.log = log;
 		this.rollouts = new RolloutRows(decoder, log);
 		for (FleetTable table : FleetTable.values()) {
-			this.replicas.put(table, new TableReplica());
+			this.replicas.put(table,
+					TableReplica.create((key, one, other) -> decoder.compareAge(table, key, one, other)));
 		}
 	}
 
@@ -128,8 +154,10 @@
 		Set<String> changed;
 		synchronized (this) {
 			long confirmed = storeMillis(table);
+			long before = version(table);
 			changed = replica(table).replace(read.rows(), read.version(), read.millis());
 			recordConfirmation(table, confirmed);
+			recordReturn(table, before);
 			update(table, changed);
 		}
 		notifyListeners(table, changed);
@@ -152,6 +180,14 @@
 		notifyListeners(table, changed);
 	}
 
+	private void recordReturn(FleetTable table, long versionBefore) {
+		if (versionBefore >= 0 && !StoreVersion.isSameEra(versionBefore, version(table))) {
+			this.returnedAt.put(table, this.ticker.nanos());
+			this.log.lifecycle("store returned from a copy", "table", table, "versionBefore",
+					StoreVersion.toText(versionBefore), "version", StoreVersion.toText(version(table)));
+		}
+	}
+
 	private void notifyListeners(FleetTable table, Set<String> changed) {
 		if (!changed.isEmpty()) {
 			this.listeners.forEach((listener) -> listener.accept(table));
@@ -211,11 +247,32 @@
 	public synchronized MissingRows changesAfter(FleetTable table, long after) {
 		TableReplica replica = replica(table);
 		boolean whole = !replica.retainsChangesAfter(after);
-		Collection<ReplicaRow> rows = whole ? replica.rows() : replica.changesAfter(after);
+		Collection<ReplicaRow> rows = whole ? replica.storeRows() : replica.changesAfter(after);
 		List<ReplicaRow> bounded = rows.stream().map((row) -> withBoundedValue(table, row)).toList();
 		return new MissingRows(whole, new TableRead(bounded, replica.complete(), replica.storeMillis()));
 	}
 
+	/**
+	 * Returns the operator's version of the configuration in force.
+	 * @return the version, -1 if there is none
+	 */
+	public synchronized long configurationVersion() {
+		return (this.catalog != null) ? this.catalog.version() : -1;
+	}
+
+	/**
+	 * Returns the row of the configuration in force, which the store may lack after it
+	 * has returned from a copy.
+	 * @return the row as a change that does not follow any other
+	 */
+	public synchronized TableRead configuration() {
+		TableReplica replica = replica(FleetTable.OPERATOR);
+		ReplicaRow row = replica.row(this.catalogKey);
+		long version = (row != null) ? row.version() : replica.complete();
+		return new TableRead(List.of(new ReplicaRow(this.catalogKey, version, this.catalogValue)), replica.complete(),
+				replica.storeMillis());
+	}
+
 	private ReplicaRow withBoundedValue(FleetTable table, ReplicaRow row) {
 		boolean dropped = table == FleetTable.ENDPOINTS && row.value() != null
 				&& row.value().length > MAX_MALFORMED_BYTES && !this.endpoints.containsKey(row.key());
@@ -233,13 +290,41 @@
 	}
 
 	/**
-	 * Drops endpoints whose grace period after a mass expiry has ended.
+	 * Drops endpoints whose grace period after a mass expiry has ended, and ends the
+	 * grace periods after a return of the store from a copy.
 	 */
-	public synchronized void dropExpired() {
-		long now = this.ticker.nanos();
-		if (this.keptUntil.values().removeIf((until) -> until <= now)) {
-			rebuild();
+	public void dropExpired() {
+		for (FleetTable table : FleetTable.values()) {
+			Set<String> changed;
+			synchronized (this) {
+				changed = endReturn(table);
+				update(table, changed);
+			}
+			notifyListeners(table, changed);
+		}
+		synchronized (this) {
+			long now = this.ticker.nanos();
+			if (this.keptUntil.values().removeIf((until) -> until <= now)) {
+				rebuild();
+			}
+		}
+	}
+
+	private Set<String> endReturn(FleetTable table) {
+		Long began = this.returnedAt.get(table);
+		if (began == null) {
+			return Set.of();
+		}
+		long age = this.ticker.nanos() - began;
+		Set<String> changed = new TreeSet<>();
+		if (age >= ((table == FleetTable.ENDPOINTS) ? RESTORE_NANOS : RETURN_GRACE_NANOS)) {
+			changed.addAll(replica(table).dropUnconfirmed());
+		}
+		if (age >= RETURN_GRACE_NANOS) {
+			changed.addAll(replica(table).applyWithheld());
+			this.returnedAt.remove(table);
 		}
+		return changed;
 	}
 
 	private TableReplica replica(FleetTable table) {
@@ -282,7 +367,10 @@
 			Catalog current = this.catalog;
 			if (current == null || next.version() >= current.version()) {
 				this.catalog = next;
-				this.log.stateChange("configuration", "version", next.version(), "row", row.version());
+				this.catalogKey = key;
+				this.catalogValue = row.value();
+				this.log.stateChange("configuration", "version", next.version(), "row",
+						StoreVersion.toText(row.version()));
 			}
 		}
 		catch (MalformedRowException | RuntimeException | StackOverflowError ex) {
--- a/server/src/main/java/org/banyanstile/server/view/RolloutRows.java
+++ b/server/src/main/java/org/banyanstile/server/view/RolloutRows.java
@@ -5,6 +5,7 @@
 
 import org.banyanstile.core.canary.RolloutOrder;
 import org.banyanstile.core.replica.ReplicaRow;
+import org.banyanstile.core.replica.StoreVersion;
 import org.banyanstile.server.router.DecisionLog;
 import org.jspecify.annotations.Nullable;
 
@@ -41,7 +42,7 @@
 			RolloutOrder order = this.decoder.decodeRollout(key, row.version(), row.value());
 			this.orders.put(key, order);
 			this.log.stateChange("rollout requested", "service", order.service(), "to", order.to(), "deadlineMillis",
-					order.deadlineMillis(), "row", row.version());
+					order.deadlineMillis(), "row", StoreVersion.toText(row.version()));
 		}
 		catch (MalformedRowException | RuntimeException | StackOverflowError ex) {
 			this.log.problem("malformed rollout row " + key + "; the previous one stays in force", ex);
--- a/server/src/main/java/org/banyanstile/server/view/RowDecoder.java
+++ b/server/src/main/java/org/banyanstile/server/view/RowDecoder.java
@@ -56,6 +56,19 @@
 		throw new MalformedRowException("the row " + key + " requests no rollout", null);
 	}
 
+	/**
+	 * Compares two values of a row by what their writer says of their age.
+	 * @param table the table
+	 * @param key key of the row
+	 * @param one a value
+	 * @param other another value of the row
+	 * @return a negative number if the first one is older, a positive one if it is newer,
+	 * 0 if that is not known
+	 */
+	default int compareAge(FleetTable table, String key, byte[] one, byte[] other) {
+		return 0;
+	}
+
 	/**
 	 * Decodes the entry of an endpoint.
 	 * @param id id of the endpoint, the key of its row
--- a/server/src/test/java/org/banyanstile/server/view/FleetViewTests.java
+++ b/server/src/test/java/org/banyanstile/server/view/FleetViewTests.java
@@ -10,6 +10,7 @@
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.replica.ReplicaRow;
+import org.banyanstile.core.replica.StoreVersion;
 import org.banyanstile.server.router.DecisionLog;
 import org.banyanstile.server.router.LogRecorder;
 import org.junit.jupiter.api.Test;
@@ -132,6 +133,48 @@
 		assertThat(usable(), hasSize(1));
 	}
 
+	private void readAll(FleetTable table, long era, long number, String... keys) {
+		List<ReplicaRow> rows = new ArrayList<>();
+		for (String key : keys) {
+			rows.add(new ReplicaRow(key, StoreVersion.of(era, number), "ready".getBytes(StandardCharsets.UTF_8)));
+		}
+		this.view.replace(table, new TableRead(rows, StoreVersion.of(era, number), number));
+	}
+
+	@Test
+	void endpointThatTheStoreLacksAfterItsReturnIsUsableUntilEntriesAreRestored() {
+		readAll(FleetTable.ENDPOINTS, 1, 30, "e0", "e1", "e2");
+		readAll(FleetTable.ENDPOINTS, 2, 20, "e0", "e1");
+		assertThat(usable(), hasSize(3));
+		this.nanos.set(FleetView.RESTORE_NANOS);
+		this.view.dropExpired();
+		assertThat(usable(), hasSize(2));
+	}
+
+	@Test
+	void endpointThatLeftBeforeTheReturnGetsNoWorkFromTheCopy() {
+		readAll(FleetTable.ENDPOINTS, 1, 30, "e0", "e1", "e2");
+		readAll(FleetTable.ENDPOINTS, 1, 31, "e0", "e1");
+		readAll(FleetTable.ENDPOINTS, 2, 20, "e0", "e1", "e2");
+		this.nanos.set(FleetView.RETURN_GRACE_NANOS - 1);
+		this.view.dropExpired();
+		assertThat(usable(), hasSize(2));
+		this.nanos.set(FleetView.RETURN_GRACE_NANOS);
+		this.view.dropExpired();
+		assertThat(usable(), hasSize(3));
+	}
+
+	@Test
+	void evacuationThatTheCopyLacksStaysInForce() {
+		readAll(FleetTable.ENDPOINTS, 1, 20, "e0");
+		readAll(FleetTable.OPERATOR, 1, 30, "evacuate/dc1");
+		readAll(FleetTable.OPERATOR, 2, 20);
+		assertThat(usable(), hasSize(0));
+		this.nanos.set(FleetView.RETURN_GRACE_NANOS);
+		this.view.dropExpired();
+		assertThat(usable(), hasSize(1));
+	}
+
 	@Test
 	void malformedEntryIsLoggedOnceAndInABoundedLine() {
 		try (LogRecorder recorder = LogRecorder.start()) {
