Wait for a lost write of the owner of role changes

Engines could get orders of two VMs within the three seconds that must separate them: the store returns from a copy without the last write of the owner, and another VM finds no row, or one that names itself.

--- a/core/src/main/java/org/banyanstile/core/lease/RoleChangeOwnership.java
+++ b/core/src/main/java/org/banyanstile/core/lease/RoleChangeOwnership.java
@@ -5,7 +5,9 @@
  * owner writes the row conditionally before it sends role-change orders; the version of
  * that write is its fencing token. Another VM takes the row over only after it has not
  * changed for longer than a write is valid, so orders of two owners never interleave.
- * Nothing is written while there are no orders. Not safe for use by several threads.
+ * After the store has returned from a copy, the write of the owner may be lost, so every
+ * VM waits as if the row had just changed. Nothing is written while there are no orders.
+ * Not safe for use by several threads.
  *
  * @author banyanstile contributors
  */
@@ -50,8 +52,9 @@
 
 	/**
 	 * Records a read of the row.
-	 * @param rowVersion version of the row, 0 if it does not exist
-	 * @param rowOwner the VM that wrote it
+	 * @param rowVersion version of the row, 0 if it does not exist and the store never
+	 * returned from a copy
+	 * @param rowOwner the VM that wrote it, empty if that is not known
 	 * @param now the current time in nanoseconds
 	 */
 	public void read(long rowVersion, String rowOwner, long now) {
--- a/server/src/main/java/org/banyanstile/server/view/TableSource.java
+++ b/server/src/main/java/org/banyanstile/server/view/TableSource.java
@@ -74,7 +74,7 @@
 	/**
 	 * Writes the row that names the owner of role changes, if it still has a version.
 	 * @param vm name of this VM
-	 * @param expectedVersion the version that the row must have, 0 if it must not exist
+	 * @param expectedVersion the version that was read
 	 * @return the new version, or -1 if the row has another version
 	 * @throws TableSourceException if the store did not respond, so the outcome is
 	 * unknown
