Begin no trial in a turn whose claims the store may have lost

A quarantined request could crash one endpoint more: the claim to its trial is gone when the store returns from a copy, and another VM acquires the same claim.

A VM knows for how long it has known the era of the store. It denies a trial whose turn is older, and one whose claim was written in an era that it does not know yet. In both cases the next turn, a minute later at most, is claimed as usual; so a wrongly suspected request may wait a minute longer after a return, and at a VM that started within the turn.

--- a/core/src/main/java/org/banyanstile/core/quarantine/Suspicion.java
+++ b/core/src/main/java/org/banyanstile/core/quarantine/Suspicion.java
@@ -127,8 +127,9 @@
 	}
 
 	TrialClaim claim(boolean explained, long now) {
-		long turn = Math.max(0, now - pauseEnd(explained)) / CrashQuarantine.TURN_NANOS;
-		return new TrialClaim(this.trait, this.clearances, this.crashes.size(), turn);
+		long sincePause = Math.max(0, now - pauseEnd(explained));
+		return new TrialClaim(this.trait, this.clearances, this.crashes.size(), sincePause / CrashQuarantine.TURN_NANOS,
+				sincePause % CrashQuarantine.TURN_NANOS);
 	}
 
 	boolean isTrialOf(Object call) {
--- a/core/src/main/java/org/banyanstile/core/quarantine/TrialClaim.java
+++ b/core/src/main/java/org/banyanstile/core/quarantine/TrialClaim.java
@@ -10,9 +10,11 @@
  * @param clearances clearances of the trait
  * @param crashes crashes since the last clearance
  * @param turn number of the turn, from 0 at the end of the pause
+ * @param turnNanos time in nanoseconds since the turn began, in which another VM may have
+ * made an equal claim
  * @author banyanstile contributors
  */
-public record TrialClaim(long trait, int clearances, int crashes, long turn) {
+public record TrialClaim(long trait, int clearances, int crashes, long turn, long turnNanos) {
 
 	/**
 	 * Bounds the number of rows. Traits that share a row displace each other's claims.
--- a/core/src/main/java/org/banyanstile/core/quarantine/TrialLock.java
+++ b/core/src/main/java/org/banyanstile/core/quarantine/TrialLock.java
@@ -10,7 +10,8 @@
 /**
  * Lets only one VM of a fleet try a request that is suspected to crash endpoints. Each
  * trial is claimed by a conditional write to the store, so it does not matter whether VMs
- * agree on who is alive. While the store does not respond there is no trial.
+ * agree on who is alive. While the store does not respond there is no trial, nor in a
+ * turn in which the store may have lost a claim.
  *
  * @author banyanstile contributors
  */
@@ -20,17 +21,30 @@
 
 	private final TrialRows rows;
 
-	private TrialLock(TrialRows rows) {
+	private final StoreEra era;
+
+	private TrialLock(TrialRows rows, StoreEra era) {
 		this.rows = rows;
+		this.era = era;
 	}
 
 	/**
-	 * Creates a lock.
+	 * Creates a lock with a store that never returns from a copy.
 	 * @param rows rows of the store, shared by all VMs
 	 * @return the lock
 	 */
 	public static TrialLock of(TrialRows rows) {
-		return new TrialLock(rows);
+		return new TrialLock(rows, StoreEra.ONLY);
+	}
+
+	/**
+	 * Creates a lock.
+	 * @param rows rows of the store, shared by all VMs
+	 * @param era era of the store
+	 * @return the lock
+	 */
+	public static TrialLock of(TrialRows rows, StoreEra era) {
+		return new TrialLock(rows, era);
 	}
 
 	/**
@@ -41,12 +55,17 @@
 	 * @throws IOException if the store did not respond
 	 */
 	public boolean tryAcquire(List<TrialClaim> claims) throws IOException {
+		long knownEra = this.era.number();
+		long knownNanos = this.era.knownNanos();
+		if (knownEra < 0 || claims.stream().anyMatch((claim) -> claim.turnNanos() >= knownNanos)) {
+			return false;
+		}
 		Map<String, String> wanted = values(claims);
-		TrialWrite first = write(wanted, Map.of());
-		if (first.applied()) {
-			return true;
+		TrialWrite last = write(wanted, Map.of());
+		if (!last.applied() && !holdsAny(last.current(), wanted)) {
+			last = write(wanted, versions(last.current()));
 		}
-		return !holdsAny(first.current(), wanted) && write(wanted, versions(first.current())).applied();
+		return last.applied() && last.era() == knownEra;
 	}
 
 	/**
--- a/core/src/main/java/org/banyanstile/core/quarantine/TrialWrite.java
+++ b/core/src/main/java/org/banyanstile/core/quarantine/TrialWrite.java
@@ -7,16 +7,18 @@
  *
  * @param applied whether the rows were written
  * @param current the current rows if they were not
+ * @param era era of the store in which they were
  * @author banyanstile contributors
  */
-public record TrialWrite(boolean applied, List<TrialRow> current) {
+public record TrialWrite(boolean applied, List<TrialRow> current, long era) {
 
 	/**
 	 * Returns the outcome of a write whose condition held.
+	 * @param era era of the store, 0 if it has none
 	 * @return the outcome
 	 */
-	public static TrialWrite ofApplied() {
-		return new TrialWrite(true, List.of());
+	public static TrialWrite ofApplied(long era) {
+		return new TrialWrite(true, List.of(), era);
 	}
 
 	/**
@@ -25,7 +27,7 @@
 	 * @return the outcome
 	 */
 	public static TrialWrite ofRejected(List<TrialRow> current) {
-		return new TrialWrite(false, current);
+		return new TrialWrite(false, current, -1);
 	}
 
 }
--- a/core/src/test/java/org/banyanstile/core/quarantine/MemoryTrialRows.java
+++ b/core/src/test/java/org/banyanstile/core/quarantine/MemoryTrialRows.java
@@ -61,7 +61,7 @@
 		if (this.losesResponses) {
 			throw new IOException("the store's response was lost");
 		}
-		return applies ? TrialWrite.ofApplied() : TrialWrite.ofRejected(current);
+		return applies ? TrialWrite.ofApplied(0) : TrialWrite.ofRejected(current);
 	}
 
 }
--- a/core/src/test/java/org/banyanstile/core/quarantine/TrialLockTests.java
+++ b/core/src/test/java/org/banyanstile/core/quarantine/TrialLockTests.java
@@ -89,7 +89,34 @@
 	}
 
 	private static TrialClaim claim(long trait, int crashes, long turn) {
-		return new TrialClaim(trait, 0, crashes, turn);
+		return new TrialClaim(trait, 0, crashes, turn, 0);
+	}
+
+	/**
+	 * Guards against a trial whose equal claim the store has lost.
+	 */
+	@Test
+	void aTurnThatBeganBeforeTheEraOfTheStoreWasKnownHasNoTrial() throws Exception {
+		TrialLock known = TrialLock.of(this.rows, new KnownEra(0, 5));
+		assertThat(known.tryAcquire(List.of(new TrialClaim(1, 0, 3, 0, 5))), is(false));
+		assertThat(known.tryAcquire(List.of(claim(2, 3, 0), new TrialClaim(1, 0, 3, 0, 6))), is(false));
+		assertThat(known.tryAcquire(List.of(new TrialClaim(1, 0, 3, 0, 4))), is(true));
+	}
+
+	@Test
+	void aClaimInAnEraThatIsNotKnownYetIsNoTrial() throws Exception {
+		assertThat(TrialLock.of(this.rows, new KnownEra(-1, 5)).tryAcquire(List.of(claim(1, 3, 0))), is(false));
+		TrialLock later = TrialLock.of((written) -> TrialWrite.ofApplied(2), new KnownEra(1, 5));
+		assertThat(later.tryAcquire(List.of(claim(1, 3, 0))), is(false));
+	}
+
+	/**
+	 * Era that a VM has known for some time.
+	 *
+	 * @author banyanstile contributors
+	 */
+	private record KnownEra(long number, long knownNanos) implements StoreEra {
+
 	}
 
 }
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -173,7 +173,7 @@
 				platform.engines(), loads, health, EndpointPicker.create(loads, health, new Random()),
 				new EndpointClient(platform.client(), platform.requests(), health, limits, log, metrics), limits,
 				(key) -> membership.position(key, ticker.nanos()), quarantine,
-				TrialLock.of((rows) -> writeTrials(platform.source(), rows)),
+				TrialLock.of((rows) -> writeTrials(platform.source(), rows), view.era()),
 				(key) -> FleetPosition.among(key, settings.vm(), registration.others()), bodies, log, metrics,
 				rollouts);
 		SchedulerNode scheduler = startScheduler(settings, addresses, membership, services, ticker, registry, log);
--- a/server/src/main/java/org/banyanstile/server/view/FleetView.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetView.java
@@ -15,6 +15,7 @@
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.quarantine.StoreEra;
 import org.banyanstile.core.replica.ReplicaRow;
 import org.banyanstile.core.replica.StoreVersion;
 import org.banyanstile.core.replica.TableReplica;
@@ -104,6 +105,11 @@
 	 */
 	private final Map<FleetTable, Long> returnedAt = new EnumMap<>(FleetTable.class);
 
+	/**
+	 * Time in nanoseconds since which this VM has known the era of the operator's table.
+	 */
+	private long eraKnownAt;
+
 	private volatile FleetSnapshot snapshot = new FleetSnapshot(null, Map.of(), Map.of(), Set.of(), Map.of());
 
 	private FleetView(RowDecoder decoder, Ticker ticker, DecisionLog log) {
@@ -180,8 +186,20 @@
 		notifyListeners(table, changed);
 	}
 
+	/**
+	 * Returns the era of the store as this VM knows it, which changes with this view.
+	 * @return the era
+	 */
+	public StoreEra era() {
+		return new KnownEra();
+	}
+
 	private void recordReturn(FleetTable table, long versionBefore) {
-		if (versionBefore >= 0 && !StoreVersion.isSameEra(versionBefore, version(table))) {
+		boolean isOtherEra = versionBefore < 0 || !StoreVersion.isSameEra(versionBefore, version(table));
+		if (table == FleetTable.OPERATOR && isOtherEra) {
+			this.eraKnownAt = this.ticker.nanos();
+		}
+		if (versionBefore >= 0 && isOtherEra) {
 			this.returnedAt.put(table, this.ticker.nanos());
 			this.log.lifecycle("store returned from a copy", "table", table, "versionBefore",
 					StoreVersion.toText(versionBefore), "version", StoreVersion.toText(version(table)));
@@ -482,4 +500,26 @@
 
 	}
 
+	/**
+	 * Era of the operator's table.
+	 *
+	 * @author banyanstile contributors
+	 */
+	private final class KnownEra implements StoreEra {
+
+		@Override
+		public long number() {
+			long version = version(FleetTable.OPERATOR);
+			return (version < 0) ? -1 : StoreVersion.era(version);
+		}
+
+		@Override
+		public long knownNanos() {
+			synchronized (FleetView.this) {
+				return FleetView.this.ticker.nanos() - FleetView.this.eraKnownAt;
+			}
+		}
+
+	}
+
 }
