Log the version of engines and the streams that callers resume

No line about an attempt named the software version of the engine, nor whether a request takes a stream up, so a stream that was joined from two versions could not be told from one that went on at its own. Attempts now name the version, and accepted requests the event and the attempt that they resume. No logic changes.

--- a/server/src/main/java/org/banyanstile/server/router/CallAttempts.java
+++ b/server/src/main/java/org/banyanstile/server/router/CallAttempts.java
@@ -133,8 +133,9 @@
 	void log(RegisteredEndpoint endpoint, String outcome, String reason) {
 		this.services.metrics().attemptOutcome(outcome);
 		this.services.log()
-			.request("attempt", this.call.id(), "endpoint", endpoint.id(), "service", this.call.service(), "run",
-					this.runs, "outcome", outcome, "reason", reason, "ageMillis", this.call.ageMillis());
+			.request("attempt", this.call.id(), "endpoint", endpoint.id(), "version", endpoint.version(), "service",
+					this.call.service(), "run", this.runs, "outcome", outcome, "reason", reason, "ageMillis",
+					this.call.ageMillis());
 	}
 
 	/**
--- a/server/src/main/java/org/banyanstile/server/router/CallerFields.java
+++ b/server/src/main/java/org/banyanstile/server/router/CallerFields.java
@@ -16,13 +16,15 @@
  * @param expectedOutputTokens the caller's estimate of the generated tokens, -1 if absent
  * @param lastEventId id of the event after which a stream is resumed, {@code null} if
  * absent
+ * @param resumedAttempt id of the attempt that brought the first event of the stream that
+ * is resumed, {@code null} if absent
  * @param sharedParts ids of the parts of the prompt that other prompts may have as well,
  * in order; the last part of a prompt is not among them
  * @author banyanstile contributors
  */
 public record CallerFields(@Nullable String attemptId, long deadlineMillis, @Nullable String apiKey,
 		@Nullable String model, long promptTokens, long maxOutputTokens, long expectedOutputTokens,
-		@Nullable String lastEventId, List<String> sharedParts) {
+		@Nullable String lastEventId, @Nullable String resumedAttempt, List<String> sharedParts) {
 
 	/**
 	 * Returns whether the request has token counts.
--- a/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
+++ b/server/src/main/java/org/banyanstile/server/router/RequestIntake.java
@@ -339,7 +339,7 @@
 		this.services.log()
 			.request("accepted", call.id(), "route", route.name(), "service", name, "team", call.team(), "version",
 					catalog.version(), "tokens", tokens, "deadlineMillis", fields.deadlineMillis(), "parts",
-					loggedParts(fields));
+					loggedParts(fields), "resumes", fields.resumedAttempt(), "lastEventId", fields.lastEventId());
 		this.calls.add(call);
 		try {
 			run(call, service);
