Continue a broken stream only at the software version that began it

Cause: neither the choice of an engine for a broken stream nor a reservation that was made before knew which version had begun it; versions played a role only in a rollout that the operator orders.

The engine whose response the caller gets binds the stream to its version, and only engines of this version are asked for memory, by the local queue, since the fleet's scheduler does not know versions. If none of them serves, the stream ends at once, so that its caller can return. While one version serves, nothing changes.

--- a/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
@@ -56,6 +56,8 @@
 
 	private static final double MILLIS_PER_SECOND = 1000;
 
+	private static final String NO_VERSION = "no engine of the software version that began the stream serves";
+
 	private static final String NO_MEMORY = "no engine has enough free memory for the request";
 
 	private final RouterServices services;
@@ -66,11 +68,24 @@
 
 	private final long tokens;
 
-	DecodeReservations(RouterServices services, RouterCall call, EngineTraits traits, long tokens) {
+	private final @Nullable String version;
+
+	/**
+	 * Creates the reservations of a request.
+	 * @param services services of the router
+	 * @param call the request
+	 * @param traits traits of the engines
+	 * @param tokens memory that the request needs
+	 * @param version software version that has to continue the stream, {@code null} if
+	 * the stream has not begun
+	 */
+	DecodeReservations(RouterServices services, RouterCall call, EngineTraits traits, long tokens,
+			@Nullable String version) {
 		this.services = services;
 		this.call = call;
 		this.traits = traits;
 		this.tokens = tokens;
+		this.version = version;
 	}
 
 	/**
@@ -84,14 +99,37 @@
 			throw RejectionException.notRun("the request needs more memory than an engine has", 0);
 		}
 		SchedulerClient scheduler = this.services.scheduler();
-		// The scheduler does not know to which version a request is assigned.
-		if (scheduler == null || this.services.rollouts().hasOrder(this.call.service())) {
+		// The scheduler does not know to which version a request is assigned or bound.
+		if (scheduler == null || this.services.rollouts().hasOrder(this.call.service()) || isBoundToOneOfSeveral()) {
 			return awaitLocalReservation();
 		}
 		DecodeReservation reservation = awaitScheduledReservation(scheduler);
 		return (reservation != null) ? reservation : held(scheduler, awaitLocalReservation());
 	}
 
+	private boolean isBoundToOneOfSeveral() {
+		return this.version != null && this.services.view()
+			.snapshot()
+			.usable()
+			.getOrDefault(this.call.service(), List.of())
+			.stream()
+			.anyMatch((engine) -> !isPossible(engine));
+	}
+
+	private boolean isPossible(RegisteredEndpoint engine) {
+		return this.version == null || this.version.equals(engine.version());
+	}
+
+	// Whether an engine of the version serves, in whatever role.
+	private boolean isVersionServing() {
+		return this.version == null || this.services.view()
+			.snapshot()
+			.usable()
+			.getOrDefault(this.call.service(), List.of())
+			.stream()
+			.anyMatch(this::isPossible);
+	}
+
 	// Returns the reservation, or {@code null} if no scheduler answers.
 	private @Nullable DecodeReservation awaitScheduledReservation(SchedulerClient scheduler) throws RejectionException {
 		SchedulerTicket ticket = scheduler.open(demand());
@@ -146,7 +184,7 @@
 	private @Nullable DecodeReservation tryReserve(PlacementAnswer.Placed placed, SchedulerTicket ticket) {
 		RegisteredEndpoint engine = this.services.engines(this.call.service(), EndpointRole.DECODE)
 			.stream()
-			.filter((candidate) -> candidate.id().equals(placed.engine()))
+			.filter((candidate) -> candidate.id().equals(placed.engine()) && isPossible(candidate))
 			.findFirst()
 			.orElse(null);
 		if (engine == null || !this.services.tryAcquireRate(engine)) {
@@ -204,6 +242,9 @@
 				if (this.call.isCancelledForExit()) {
 					throw RejectionException.shuttingDown();
 				}
+				if (!isVersionServing()) {
+					throw RejectionException.notRun(NO_VERSION, 0);
+				}
 				if (this.call.isCancelledOrTimedOut() || this.call.ageMillis() > maxAgeMillis) {
 					throw RejectionException.notRun(NO_MEMORY, retryAfterSeconds(queue));
 				}
@@ -243,7 +284,12 @@
 	}
 
 	private @Nullable DecodeReservation tryReserve(Predicate<RegisteredEndpoint> candidate, boolean late) {
-		List<RegisteredEndpoint> engines = this.services.decodeEngines(this.call).stream().filter(candidate).toList();
+		List<RegisteredEndpoint> engines = ((this.version != null)
+				? this.services.decodeEngines(this.call.service(), this.version)
+				: this.services.decodeEngines(this.call))
+			.stream()
+			.filter(candidate)
+			.toList();
 		List<RegisteredEndpoint> ordered = this.services.picker()
 			.mostFreeMemory(engines, this.traits.memoryTokens(), this.tokens, System.nanoTime());
 		int asked = 0;
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -20,7 +20,7 @@
 /**
  * Serves a generation request: reserves memory at a decode engine, prefills the prompt at
  * a prefill engine, and forwards the stream as it arrives. A broken stream fails over to
- * another engine if the route allows it.
+ * another engine of the same software version if the route allows it.
  *
  * @author banyanstile contributors
  */
@@ -131,6 +131,12 @@
 	 */
 	private String contentType = "";
 
+	/**
+	 * Software version of the engine that began the stream, {@code null} before. No other
+	 * version can continue it.
+	 */
+	private @Nullable String version;
+
 	private GenerationRun(RouterServices services, RouterCall call, EngineTraits traits) {
 		this.services = services;
 		this.call = call;
@@ -233,7 +239,7 @@
 	}
 
 	private DecodeReservations reservations() {
-		return new DecodeReservations(this.services, this.call, this.traits, requiredTokens());
+		return new DecodeReservations(this.services, this.call, this.traits, requiredTokens(), this.version);
 	}
 
 	// Returns the failover reservation if there is one, else waits for a reservation.
@@ -403,6 +409,7 @@
 		String type = String.valueOf(response.header(CONTENT_TYPE)).split(";", 2)[0].strip();
 		if (!this.call.response().isStarted()) {
 			this.contentType = type;
+			this.version = engine.version();
 			this.call.response().start(response.status(), response.headers(), this.services.protocol());
 		}
 		else if (!type.equalsIgnoreCase(this.contentType)) {
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -174,6 +174,18 @@
 		return allowed(call, engines(call.service(), EndpointRole.DECODE));
 	}
 
+	/**
+	 * Returns the decode engines that may continue a stream.
+	 * @param service name of the service
+	 * @param version software version of the engine that began the stream
+	 * @return the engines, without those that are changing their role
+	 */
+	List<RegisteredEndpoint> decodeEngines(String service, String version) {
+		return engines(service, EndpointRole.DECODE).stream()
+			.filter((engine) -> engine.version().equals(version) && this.rollouts.isAllowed(engine))
+			.toList();
+	}
+
 	// A request that the new version has not served soon is not held up by it.
 	private List<RegisteredEndpoint> allowed(RouterCall call, List<RegisteredEndpoint> candidates) {
 		if (call.isSent() || call.ageMillis() > MAX_NEW_VERSION_WAIT_MILLIS) {
