Continue from KV cache of the same software version only

A decode engine could continue from the KV cache that an engine of another software version had prefilled, unless the operator had ordered a rollout; what two versions write does not fit together. StreamVersionTests.promptIsPrefilledAtTheVersionOfItsDecodeEngine failed. The prefill engines of a request are now those of its decode engine's version, with a rollout or without, and if there is none the decode engine prefills itself. While one version serves, nothing changes.

--- a/core/src/main/java/org/banyanstile/core/catalog/RegisteredEndpoint.java
+++ b/core/src/main/java/org/banyanstile/core/catalog/RegisteredEndpoint.java
@@ -19,4 +19,14 @@
 public record RegisteredEndpoint(String id, String service, String address, String dataCentre, EndpointRole role,
 		boolean ready, int capacity, long coldMillis, long startMillis, String version) {
 
+	/**
+	 * Returns whether two endpoints have the same software version. What two versions
+	 * write, in a stream or in a KV cache, does not fit together.
+	 * @param other the other endpoint
+	 * @return whether they have
+	 */
+	public boolean hasVersionOf(RegisteredEndpoint other) {
+		return this.version.equals(other.version);
+	}
+
 }
--- a/server/src/main/java/org/banyanstile/server/canary/Rollouts.java
+++ b/server/src/main/java/org/banyanstile/server/canary/Rollouts.java
@@ -142,18 +142,6 @@
 		return rollout == null || rollout.isAllowed(endpoint);
 	}
 
-	/**
-	 * Returns whether a decode engine may continue from the KV cache of a prefill engine.
-	 * During a rollout their versions have to be the same, since the new one may be bad.
-	 * @param prefill the prefill engine
-	 * @param decode the decode engine
-	 * @return whether it may
-	 */
-	public boolean mayShareCache(RegisteredEndpoint prefill, RegisteredEndpoint decode) {
-		ServiceRollout rollout = rollout(decode.service());
-		return rollout == null || rollout.isCompleted() || prefill.version().equals(decode.version());
-	}
-
 	/**
 	 * Returns whether an endpoint belongs to the new version of a running rollout, so
 	 * that the roles of both versions are balanced separately.
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -321,7 +321,7 @@
 	private void preparePrompt(DecodeReservation reservation) {
 		PrefilledPrompt kept = this.prefilledPrompt;
 		if (kept != null && this.promptRefusals < MAX_PROMPT_REFUSALS
-				&& this.services.rollouts().mayShareCache(kept.engine(), reservation.engine())
+				&& kept.engine().hasVersionOf(reservation.engine())
 				&& kept.isUsable(this.traits.handleMillis(), System.nanoTime())) {
 			return;
 		}
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -195,7 +195,8 @@
 	}
 
 	/**
-	 * Returns the prefill engines whose KV cache a decode engine may continue from.
+	 * Returns the prefill engines whose KV cache a decode engine may continue from: those
+	 * of the same software version.
 	 * @param call the request
 	 * @param decodeEngine the decode engine
 	 * @return the engines, without those that are changing their role
@@ -203,7 +204,7 @@
 	List<RegisteredEndpoint> prefillEngines(RouterCall call, RegisteredEndpoint decodeEngine) {
 		return this.rollouts.allowed(call.service(), engines(call.service(), EndpointRole.PREFILL), call.versions())
 			.stream()
-			.filter((engine) -> this.rollouts.mayShareCache(engine, decodeEngine))
+			.filter((engine) -> engine.hasVersionOf(decodeEngine))
 			.toList();
 	}
 
