Continue a stream that its caller takes up at its version only

Cause: a request with Last-Event-Id went to any engine. What a VM knows of a stream ends with it, and the attempt that the caller names in Resumes was not read.

A VM remembers the version of each stream that may be resumed. While a service has had several versions for less time than a stream lasts, VMs write the origins of unfinished streams to the store, every 500 ms in one transaction, those that already ran among them, and with them which versions have served. VMs exchange the latter, so one that has just started needs the store only if all have failed. A stream that is taken up goes on at the version of its origin; if only one version has served for as long as the stream can have lasted, it is this one, without a call. Everything else is refused with 503: at once and for good if the version has left, with a short Retry-After if it is not known, since another VM may know it.

--- a/benchmark/src/main/java/org/banyanstile/benchmark/GossipSlopes.java
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/GossipSlopes.java
@@ -15,6 +15,8 @@
 import org.banyanstile.server.gossip.GossipSpeed;
 import org.banyanstile.server.gossip.GossipState;
 import org.banyanstile.server.gossip.GossipUse;
+import org.banyanstile.server.gossip.GossipVersion;
+import org.banyanstile.server.gossip.GossipVersions;
 import org.banyanstile.server.gossip.GossipWork;
 import org.banyanstile.server.gossip.Membership;
 
@@ -54,7 +56,8 @@
 			.mapToObj((i) -> new GossipUse("team" + i, 1_000_000L + i))
 			.toList();
 		return new GossipState(member(0, heartbeat), members, loads, uses, List.of(), List.of(), List.of(),
-				List.of(1000L, 2000L), List.of(50_000_000L, 50_000_000L), false, GossipEngines.none(), 1L);
+				List.of(1000L, 2000L), List.of(50_000_000L, 50_000_000L), false, GossipEngines.none(), 1L,
+				new GossipVersions(60_000, List.of()));
 	}
 
 	private static void datagrams(SlopeTable table, int vms) {
@@ -66,6 +69,8 @@
 			.registerNested(GossipWork.class)
 			.registerNested(GossipSpeed.class)
 			.registerNested(GossipEngines.class)
+			.registerNested(GossipVersion.class)
+			.registerNested(GossipVersions.class)
 			.register(GossipState.class);
 		List<GossipMember> members = IntStream.range(1, vms).mapToObj((vm) -> member(vm, 1)).toList();
 		Membership membership = Membership.of(member(vms, 0));
--- a/core/src/main/java/org/banyanstile/core/catalog/Catalog.java
+++ b/core/src/main/java/org/banyanstile/core/catalog/Catalog.java
@@ -85,6 +85,14 @@
 		return null;
 	}
 
+	/**
+	 * Returns all routes.
+	 * @return the routes
+	 */
+	public List<ServedRoute> routes() {
+		return this.routesByHost.values().stream().flatMap(List::stream).toList();
+	}
+
 	/**
 	 * Finds a service.
 	 * @param name name of the service
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -154,6 +154,8 @@
 			.registerNested(GossipWork.class)
 			.registerNested(GossipSpeed.class)
 			.registerNested(GossipEngines.class)
+			.registerNested(GossipVersion.class)
+			.registerNested(GossipVersions.class)
 			.register(GossipRows.class)
 			.register(GossipState.class)
 			.registerNested(GossipRouteOutcomes.class)
@@ -289,7 +291,7 @@
 		List<GossipMember> peers = withMembers ? this.membership.alivePeers(this.ticker.nanos()) : List.of();
 		return new GossipState(this.membership.self(), peers, this.local.loads(), this.local.uses(),
 				this.local.roleChanges(), this.local.crashes(), this.local.limits(), versions, millis, reply,
-				this.local.engines(), this.view.configurationVersion());
+				this.local.engines(), this.view.configurationVersion(), this.local.versions());
 	}
 
 	private void send(ByteBuffer datagram, SocketAddress target) {
@@ -476,6 +478,14 @@
 		 */
 		GossipEngines engines();
 
+		/**
+		 * Returns the software versions that have served.
+		 * @return the versions, {@code null} to send none
+		 */
+		default @Nullable GossipVersions versions() {
+			return null;
+		}
+
 		/**
 		 * Receives the state of another VM.
 		 * @param state the state
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipState.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipState.java
@@ -22,10 +22,13 @@
  * send it
  * @param configuration the operator's version of the configuration in force, -1 for none,
  * {@code null} from a VM that does not send it
+ * @param versionHistory software versions that have served, {@code null} from a VM that
+ * does not send them
  * @author banyanstile contributors
  */
 public record GossipState(GossipMember self, List<GossipMember> members, List<GossipLoad> loads, List<GossipUse> uses,
 		List<GossipRoleChange> roleChanges, List<GossipCrashes> crashes, List<GossipLimit> limits, List<Long> versions,
-		List<Long> millis, boolean reply, @Nullable GossipEngines engines, @Nullable Long configuration) {
+		List<Long> millis, boolean reply, @Nullable GossipEngines engines, @Nullable Long configuration,
+		@Nullable GossipVersions versionHistory) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
@@ -120,14 +120,13 @@
 		return this.version == null || this.version.equals(engine.version());
 	}
 
-	// Whether an engine of the version serves, in whatever role.
-	private boolean isVersionServing() {
-		return this.version == null || this.services.view()
+	// Whether engines of other versions only serve, in whatever role.
+	private boolean hasVersionLeft() {
+		List<RegisteredEndpoint> engines = this.services.view()
 			.snapshot()
 			.usable()
-			.getOrDefault(this.call.service(), List.of())
-			.stream()
-			.anyMatch(this::isPossible);
+			.getOrDefault(this.call.service(), List.of());
+		return !engines.isEmpty() && engines.stream().noneMatch(this::isPossible);
 	}
 
 	// Returns the reservation, or {@code null} if no scheduler answers.
@@ -242,7 +241,7 @@
 				if (this.call.isCancelledForExit()) {
 					throw RejectionException.shuttingDown();
 				}
-				if (!isVersionServing()) {
+				if (hasVersionLeft()) {
 					throw RejectionException.notRun(NO_VERSION, 0);
 				}
 				if (this.call.isCancelledOrTimedOut() || this.call.ageMillis() > maxAgeMillis) {
--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -176,6 +176,7 @@
 	}
 
 	private void run() throws RejectionException, IOException {
+		this.version = this.services.streamVersions().resumedVersion(this.call);
 		String reason = "no engine accepted the request before its deadline";
 		while (!this.call.isCancelledOrTimedOut()) {
 			double refusedSeconds = this.crashGuard.refusedSeconds();
@@ -373,6 +374,7 @@
 			this.services.health().answered(engine.id(), 0, false, System.nanoTime());
 			recordEnd(engine, RunOutcome.ANSWERED);
 			this.call.response().end();
+			this.services.streamVersions().completed(this.call);
 			recordComplete(engine);
 			return true;
 		}
@@ -410,6 +412,7 @@
 		if (!this.call.response().isStarted()) {
 			this.contentType = type;
 			this.version = engine.version();
+			this.services.streamVersions().began(this.call, engine);
 			this.call.response().start(response.status(), response.headers(), this.services.protocol());
 		}
 		else if (!type.equalsIgnoreCase(this.contentType)) {
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -32,6 +32,8 @@
 import org.banyanstile.core.quarantine.TrialRow;
 import org.banyanstile.core.quarantine.TrialWrite;
 import org.banyanstile.core.scheduling.LeastCostScheduler;
+import org.banyanstile.core.stream.ServedVersion;
+import org.banyanstile.core.stream.VersionHistory;
 import org.banyanstile.io.http.HttpClient;
 import org.banyanstile.server.canary.RolloutController;
 import org.banyanstile.server.canary.RolloutMetrics;
@@ -45,6 +47,8 @@
 import org.banyanstile.server.gossip.GossipRoleChange;
 import org.banyanstile.server.gossip.GossipState;
 import org.banyanstile.server.gossip.GossipUse;
+import org.banyanstile.server.gossip.GossipVersion;
+import org.banyanstile.server.gossip.GossipVersions;
 import org.banyanstile.server.gossip.MemberState;
 import org.banyanstile.server.gossip.Membership;
 import org.banyanstile.server.gossip.VmRegistration;
@@ -100,12 +104,14 @@
 
 	private final RolloutController rolloutController;
 
+	private final StreamRecorder streamRecorder;
+
 	private final HttpClient client;
 
 	private Router(RouterServices services, TeamQuotas quotas, GracefulShutdown shutdown, DecisionLog log,
 			FleetReader reader, VmRegistration registration, GossipNode gossip, @Nullable SchedulerNode scheduler,
 			RequestIntake intake, RouterServer server, RoleController roleController,
-			RolloutController rolloutController, HttpClient client) {
+			RolloutController rolloutController, StreamRecorder streamRecorder, HttpClient client) {
 		this.services = services;
 		this.quotas = quotas;
 		this.shutdown = shutdown;
@@ -118,6 +124,7 @@
 		this.server = server;
 		this.roleController = roleController;
 		this.rolloutController = rolloutController;
+		this.streamRecorder = streamRecorder;
 		this.client = client;
 	}
 
@@ -174,8 +181,8 @@
 				new EndpointClient(platform.client(), platform.requests(), health, limits, log, metrics), limits,
 				(key) -> membership.position(key, ticker.nanos()), quarantine,
 				TrialLock.of((rows) -> writeTrials(platform.source(), rows), view.era()),
-				(key) -> FleetPosition.among(key, settings.vm(), registration.others()), bodies, log, metrics,
-				rollouts);
+				(key) -> FleetPosition.among(key, settings.vm(), registration.others()), bodies, log, metrics, rollouts,
+				StreamVersions.create(view, platform.source(), ticker, log));
 		SchedulerNode scheduler = startScheduler(settings, addresses, membership, services, ticker, registry, log);
 		LocalGossipState localState = new LocalGossipState(services, view, loads, quotas, roleChanges, limits,
 				quarantine, shutdown, ticker, log);
@@ -204,9 +211,11 @@
 				services::exposure, () -> shutdown.hasBegun() ? Integer.MAX_VALUE : membership.rank(ticker.nanos()),
 				() -> names(membership.alivePeers(ticker.nanos())), gossip::announceRollouts, ticker, log);
 		rolloutController.start();
+		StreamRecorder streamRecorder = StreamRecorder.start(services.streamVersions(), view, platform.source(),
+				() -> membership.rank(ticker.nanos()) == 0, ticker, log);
 		log.lifecycle("started", "vm", settings.vm(), "callers", text(addresses.callers()));
 		return new Router(services, quotas, shutdown, log, reader, registration, gossip, scheduler, intake, server,
-				roleController, rolloutController, platform.client());
+				roleController, rolloutController, streamRecorder, platform.client());
 	}
 
 	private static @Nullable SchedulerNode startScheduler(RouterSettings settings, RouterAddresses addresses,
@@ -286,6 +295,7 @@
 		this.log.lifecycle("stopped", "running", this.intake.running(), "unanswered", this.intake.unanswered());
 		this.roleController.close();
 		this.rolloutController.close();
+		this.streamRecorder.close();
 		this.reader.close();
 		this.registration.close();
 		this.server.close();
@@ -422,8 +432,31 @@
 			return this.services.fleetAdmission() ? this.services.observations().own() : GossipEngines.none();
 		}
 
+		@Override
+		public GossipVersions versions() {
+			VersionHistory history = this.services.streamVersions().history();
+			long now = this.ticker.nanos();
+			return new GossipVersions(history.knownMillis(now),
+					history.reports(now)
+						.stream()
+						.map((version) -> new GossipVersion(version.service(), version.version(), version.ageMillis()))
+						.toList());
+		}
+
+		private void received(GossipVersions versions) {
+			this.services.streamVersions()
+				.history()
+				.merge(versions.versions()
+					.stream()
+					.map((version) -> new ServedVersion(version.service(), version.version(), version.ageMillis()))
+					.toList(), versions.knownMillis(), this.ticker.nanos());
+		}
+
 		@Override
 		public void received(GossipState state) {
+			if (state.versionHistory() != null) {
+				received(state.versionHistory());
+			}
 			this.services.observations().report(state.self().vm(), state.engines(), this.ticker.nanos());
 			List<EndpointLoads.Load> reportedLoads = state.loads()
 				.stream()
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -88,6 +88,8 @@
 
 	private final Rollouts rollouts;
 
+	private final StreamVersions streamVersions;
+
 	private final FirstRequests firstRequests;
 
 	private volatile @Nullable SchedulerClient scheduler;
@@ -102,7 +104,8 @@
 			EngineCalls engineCalls, EndpointLoads loads, EndpointHealth health, EndpointPicker picker,
 			EndpointClient client, EndpointLimits limits, FleetPosition position, CrashQuarantine quarantine,
 			TrialLock trialLock, FleetPosition registeredPosition, BodyBudget bodies, DecisionLog log,
-			RouterMetrics metrics, Rollouts rollouts) {
+			RouterMetrics metrics, Rollouts rollouts, StreamVersions streamVersions) {
+		this.streamVersions = streamVersions;
 		this.settings = settings;
 		this.view = view;
 		this.roleChanges = roleChanges;
@@ -227,6 +230,10 @@
 		return this.rollouts;
 	}
 
+	StreamVersions streamVersions() {
+		return this.streamVersions;
+	}
+
 	/**
 	 * Returns whether an engine that was chosen earlier is still usable and not changing
 	 * its role.
--- a/server/src/main/java/org/banyanstile/server/view/TableSource.java
+++ b/server/src/main/java/org/banyanstile/server/view/TableSource.java
@@ -7,6 +7,9 @@
 import org.banyanstile.core.canary.RolloutStage;
 import org.banyanstile.core.quarantine.TrialRow;
 import org.banyanstile.core.quarantine.TrialWrite;
+import org.banyanstile.core.stream.ServedVersion;
+import org.banyanstile.core.stream.StreamOrigin;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Access to the platform's store.
@@ -111,4 +114,36 @@
 	 */
 	TrialWrite writeTrials(List<TrialRow> rows) throws TableSourceException;
 
+	/**
+	 * Writes the origins of streams.
+	 * @param write the rows, at most 100 together
+	 * @throws TableSourceException if the store did not respond, so the outcome is
+	 * unknown
+	 */
+	void writeStreams(StreamWrite write) throws TableSourceException;
+
+	/**
+	 * Reads the origin of a stream.
+	 * @param attempt id of the attempt that brought its first event
+	 * @return the origin, or {@code null} if the store does not hold it
+	 * @throws TableSourceException if the store did not respond
+	 */
+	@Nullable
+	StreamOrigin streamOrigin(String attempt) throws TableSourceException;
+
+	/**
+	 * Reads the versions of the services that have had several.
+	 * @return the versions, whose ages count from the last write that names them
+	 * @throws TableSourceException if the store did not respond
+	 */
+	List<ServedVersion> servedVersions() throws TableSourceException;
+
+	/**
+	 * Reads which origins of streams are old. Their VMs have failed.
+	 * @param minAgeMillis age from which an origin is old
+	 * @return ids of the attempts
+	 * @throws TableSourceException if the store did not respond
+	 */
+	List<String> oldStreams(long minAgeMillis) throws TableSourceException;
+
 }
--- a/server/src/test/java/org/banyanstile/server/canary/RolloutControllerTests.java
+++ b/server/src/test/java/org/banyanstile/server/canary/RolloutControllerTests.java
@@ -18,12 +18,15 @@
 import org.banyanstile.core.quarantine.TrialRow;
 import org.banyanstile.core.quarantine.TrialWrite;
 import org.banyanstile.core.replica.ReplicaRow;
+import org.banyanstile.core.stream.ServedVersion;
+import org.banyanstile.core.stream.StreamOrigin;
 import org.banyanstile.server.router.DecisionLog;
 import org.banyanstile.server.view.FleetTable;
 import org.banyanstile.server.view.FleetView;
 import org.banyanstile.server.view.RoleChangeOwnerRow;
 import org.banyanstile.server.view.RolloutRow;
 import org.banyanstile.server.view.RowDecoder;
+import org.banyanstile.server.view.StreamWrite;
 import org.banyanstile.server.view.TableRead;
 import org.banyanstile.server.view.TableSource;
 import org.banyanstile.server.view.TableSourceException;
@@ -351,6 +354,26 @@
 			return TrialWrite.ofRejected(rows);
 		}
 
+		@Override
+		public void writeStreams(StreamWrite write) {
+			// Streams are not part of these tests.
+		}
+
+		@Override
+		public StreamOrigin streamOrigin(String attempt) {
+			return null;
+		}
+
+		@Override
+		public List<ServedVersion> servedVersions() {
+			return List.of();
+		}
+
+		@Override
+		public List<String> oldStreams(long minAgeMillis) {
+			return List.of();
+		}
+
 	}
 
 	/**
--- a/server/src/test/java/org/banyanstile/server/gossip/VmRegistrationTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/VmRegistrationTests.java
@@ -9,10 +9,13 @@
 import org.banyanstile.core.membership.RegisteredVms;
 import org.banyanstile.core.quarantine.TrialRow;
 import org.banyanstile.core.quarantine.TrialWrite;
+import org.banyanstile.core.stream.ServedVersion;
+import org.banyanstile.core.stream.StreamOrigin;
 import org.banyanstile.server.router.DecisionLog;
 import org.banyanstile.server.view.FleetTable;
 import org.banyanstile.server.view.RoleChangeOwnerRow;
 import org.banyanstile.server.view.RolloutRow;
+import org.banyanstile.server.view.StreamWrite;
 import org.banyanstile.server.view.TableRead;
 import org.banyanstile.server.view.TableSource;
 import org.banyanstile.server.view.TableSourceException;
@@ -181,6 +184,26 @@
 			return TrialWrite.ofRejected(rows);
 		}
 
+		@Override
+		public void writeStreams(StreamWrite write) {
+			// Streams are not part of these tests.
+		}
+
+		@Override
+		public StreamOrigin streamOrigin(String attempt) {
+			return null;
+		}
+
+		@Override
+		public List<ServedVersion> servedVersions() {
+			return List.of();
+		}
+
+		@Override
+		public List<String> oldStreams(long minAgeMillis) {
+			return List.of();
+		}
+
 	}
 
 }
--- a/server/src/test/java/org/banyanstile/server/view/FleetReaderTests.java
+++ b/server/src/test/java/org/banyanstile/server/view/FleetReaderTests.java
@@ -18,6 +18,8 @@
 import org.banyanstile.core.quarantine.TrialRow;
 import org.banyanstile.core.quarantine.TrialWrite;
 import org.banyanstile.core.replica.ReplicaRow;
+import org.banyanstile.core.stream.ServedVersion;
+import org.banyanstile.core.stream.StreamOrigin;
 import org.banyanstile.server.router.DecisionLog;
 import org.junit.jupiter.api.Test;
 
@@ -263,6 +265,26 @@
 			return TrialWrite.ofRejected(rows);
 		}
 
+		@Override
+		public void writeStreams(StreamWrite write) {
+			// Streams are not part of these tests.
+		}
+
+		@Override
+		public StreamOrigin streamOrigin(String attempt) {
+			return null;
+		}
+
+		@Override
+		public List<ServedVersion> servedVersions() {
+			return List.of();
+		}
+
+		@Override
+		public List<String> oldStreams(long minAgeMillis) {
+			return List.of();
+		}
+
 	}
 
 	/**
