Balance the roles of engines for each software version by itself

Streams were late.

Cause: roles were balanced over all engines of a service, by version only in a rollout that the operator orders. They are now balanced for each version by itself, also where roles follow demand, which does not know versions; while several versions serve, an order waits until the set of engines has not changed for three seconds. With one version nothing changes.

--- a/core/src/main/java/org/banyanstile/core/placement/RoleBalance.java
+++ b/core/src/main/java/org/banyanstile/core/placement/RoleBalance.java
@@ -5,7 +5,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
@@ -87,6 +90,37 @@
 		return changes;
 	}
 
+	/**
+	 * Plans role changes for each software version by itself, since a decode engine
+	 * cannot use what an engine of another version has prefilled.
+	 * @param engines engines of the service that take work
+	 * @param absent engines that are expected back, see {@link AbsentEngines}
+	 * @param changing engines that carry out an earlier order, with their new role
+	 * @param load tokens that an engine processes, by id
+	 * @return the role changes, empty if the roles are balanced
+	 */
+	public static List<RoleChange> planByVersion(List<RegisteredEndpoint> engines, List<RegisteredEndpoint> absent,
+			Map<String, EndpointRole> changing, ToLongFunction<String> load) {
+		List<RoleChange> changes = new ArrayList<>();
+		for (String version : versions(engines)) {
+			changes.addAll(plan(ofVersion(version, engines), ofVersion(version, absent), changing, load));
+		}
+		return changes;
+	}
+
+	/**
+	 * Returns the software versions of engines.
+	 * @param engines the engines
+	 * @return the versions, in order
+	 */
+	public static Set<String> versions(List<RegisteredEndpoint> engines) {
+		return engines.stream().map(RegisteredEndpoint::version).collect(Collectors.toCollection(TreeSet::new));
+	}
+
+	private static List<RegisteredEndpoint> ofVersion(String version, List<RegisteredEndpoint> engines) {
+		return engines.stream().filter((engine) -> engine.version().equals(version)).toList();
+	}
+
 	static int prefillEngines(List<RegisteredEndpoint> engines, Map<String, EndpointRole> changing) {
 		int prefill = 0;
 		for (RegisteredEndpoint engine : engines) {
--- a/core/src/test/java/org/banyanstile/core/placement/RoleBalanceTests.java
+++ b/core/src/test/java/org/banyanstile/core/placement/RoleBalanceTests.java
@@ -1,6 +1,7 @@
 package org.banyanstile.core.placement;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -9,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
@@ -102,4 +104,18 @@
 		assertThat(RoleBalance.prefillTarget(1), is(0));
 	}
 
+	@Test
+	void eachVersionHasAPrefillEngineOfItsOwn() {
+		List<RegisteredEndpoint> engines = new ArrayList<>();
+		for (int i = 0; i < 13; i++) {
+			engines.add(new RegisteredEndpoint("e" + i, "llm", "10.0.0.1:80", "dc" + i % 3,
+					(i < 3) ? EndpointRole.PREFILL : EndpointRole.DECODE, true, 64, 0, 0, (i < 7) ? "v1" : "v2"));
+		}
+		List<RoleBalance.RoleChange> plan = RoleBalance.planByVersion(engines, List.of(), Map.of(), (id) -> 0);
+		Map<String, EndpointRole> changes = new HashMap<>();
+		plan.forEach((change) -> changes.put(change.engine().version() + change.role(), change.role()));
+		assertThat(changes.keySet(), containsInAnyOrder("v1DECODE", "v2PREFILL"));
+		assertThat(RoleBalance.planByVersion(engines(1, 5), List.of(), Map.of(), (id) -> 0), is(empty()));
+	}
+
 }
--- a/server/src/main/java/org/banyanstile/server/canary/Rollouts.java
+++ b/server/src/main/java/org/banyanstile/server/canary/Rollouts.java
@@ -142,17 +142,6 @@
 		return rollout == null || rollout.isAllowed(endpoint);
 	}
 
-	/**
-	 * Returns whether an endpoint belongs to the new version of a running rollout, so
-	 * that the roles of both versions are balanced separately.
-	 * @param endpoint the endpoint
-	 * @return whether it does
-	 */
-	public boolean isNewVersion(RegisteredEndpoint endpoint) {
-		ServiceRollout rollout = rollout(endpoint.service());
-		return rollout != null && !rollout.isCompleted() && rollout.isNew(endpoint);
-	}
-
 	/**
 	 * Records that a request is about to be sent to an endpoint.
 	 * @param endpoint the endpoint
--- a/server/src/main/java/org/banyanstile/server/router/RoleController.java
+++ b/server/src/main/java/org/banyanstile/server/router/RoleController.java
@@ -1,6 +1,5 @@
 package org.banyanstile.server.router;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -11,7 +10,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.Predicate;
 
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.EndpointRole;
@@ -80,8 +78,6 @@
 
 	private final RouterServices services;
 
-	private final Predicate<RegisteredEndpoint> isNewVersion;
-
 	private final BooleanSupplier isEligible;
 
 	private final DecisionLog log;
@@ -117,8 +113,7 @@
 	private long knownIdsSinceNanos;
 
 	RoleController(String vm, FleetView view, TableSource store, EngineCalls engineCalls, EndpointLoads loads,
-			RoleChanges roleChanges, RouterServices services, Predicate<RegisteredEndpoint> isNewVersion,
-			BooleanSupplier isEligible, DecisionLog log) {
+			RoleChanges roleChanges, RouterServices services, BooleanSupplier isEligible, DecisionLog log) {
 		this.vm = vm;
 		this.view = view;
 		this.store = store;
@@ -126,7 +121,6 @@
 		this.loads = loads;
 		this.roleChanges = roleChanges;
 		this.services = services;
-		this.isNewVersion = isNewVersion;
 		this.isEligible = isEligible;
 		this.log = log;
 		this.ownership = RoleChangeOwnership.of(vm);
@@ -189,8 +183,9 @@
 		if (!surplus) {
 			this.surplusSince.remove(service);
 		}
-		boolean due = surplus ? now - this.surplusSince.computeIfAbsent(service, (name) -> now) >= MIN_SURPLUS_NANOS
-				: stable;
+		// While one version replaces another, a role that is planned now is wrong soon.
+		boolean due = (surplus && usableVersions(service) < 2)
+				? now - this.surplusSince.computeIfAbsent(service, (name) -> now) >= MIN_SURPLUS_NANOS : stable;
 		if (plan.isEmpty() || !due || !confirmOwnership()) {
 			return;
 		}
@@ -203,11 +198,7 @@
 
 	private List<RoleBalance.RoleChange> plan(String service, EngineTraits traits, long now) {
 		FleetSnapshot snapshot = this.view.snapshot();
-		List<RegisteredEndpoint> usable = snapshot.usable()
-			.getOrDefault(service, List.of())
-			.stream()
-			.filter((engine) -> engine.role() != EndpointRole.PLAIN)
-			.toList();
+		List<RegisteredEndpoint> usable = usableEngines(service);
 		Map<String, RegisteredEndpoint> registered = new HashMap<>();
 		snapshot.all().forEach((id, endpoint) -> {
 			if (endpoint.service().equals(service) && endpoint.role() != EndpointRole.PLAIN) {
@@ -219,16 +210,24 @@
 		Map<String, EndpointRole> pending = new HashMap<>();
 		this.roleChanges.pending(now).forEach((change) -> pending.put(change.endpoint(), change.role()));
 		this.issuedOrders.forEach((id, order) -> pending.put(id, order.role()));
-		if (this.services.fleetAdmission()) {
+		if (this.services.fleetAdmission() && usableVersions(service) < 2) {
 			return planByDemand(service, traits, DemandBalance.of(usable, absent, pending,
 					this.services.observations().speeds(), (id) -> this.loads.total(id).tokens()), now);
 		}
-		List<RoleBalance.RoleChange> changes = new ArrayList<>();
-		for (Predicate<RegisteredEndpoint> version : List.of(this.isNewVersion.negate(), this.isNewVersion)) {
-			changes.addAll(RoleBalance.plan(usable.stream().filter(version).toList(),
-					absent.stream().filter(version).toList(), pending, (id) -> this.loads.total(id).tokens()));
-		}
-		return changes;
+		return RoleBalance.planByVersion(usable, absent, pending, (id) -> this.loads.total(id).tokens());
+	}
+
+	private List<RegisteredEndpoint> usableEngines(String service) {
+		return this.view.snapshot()
+			.usable()
+			.getOrDefault(service, List.of())
+			.stream()
+			.filter((engine) -> engine.role() != EndpointRole.PLAIN)
+			.toList();
+	}
+
+	private int usableVersions(String service) {
+		return RoleBalance.versions(usableEngines(service)).size();
 	}
 
 	private List<RoleBalance.RoleChange> planByDemand(String service, EngineTraits traits, DemandBalance balance,
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -204,8 +204,7 @@
 			rolloutMetrics.update();
 		});
 		RoleController roleController = new RoleController(settings.vm(), view, platform.source(), platform.engines(),
-				loads, roleChanges, services, rollouts::isNewVersion,
-				() -> membership.rank(ticker.nanos()) == 0 && !shutdown.hasBegun(), log);
+				loads, roleChanges, services, () -> membership.rank(ticker.nanos()) == 0 && !shutdown.hasBegun(), log);
 		roleController.start();
 		RolloutController rolloutController = new RolloutController(view, platform.source(), rollouts,
 				services::exposure, () -> shutdown.hasBegun() ? Integer.MAX_VALUE : membership.rank(ticker.nanos()),
