Refuse responses whose status is above 599

RFC 9112 responses have a status from 100 to 599. One with 600 or 999 was passed on as an answer (two of seven cases of ResponseFramingTests.statusThatIsNoFinalOneIsMalformed failed).

--- a/io/src/main/java/org/banyanstile/io/http/ResponseFraming.java
+++ b/io/src/main/java/org/banyanstile/io/http/ResponseFraming.java
@@ -55,6 +55,8 @@
 
 	private static final int OK = 200;
 
+	private static final int MAX_STATUS = 599;
+
 	private static final int NO_CONTENT = 204;
 
 	private static final int NOT_MODIFIED = 304;
@@ -254,7 +256,8 @@
 		this.http10 = text.charAt(VERSION) == '0';
 		this.status = Integer.parseInt(text, STATUS, STATUS_END, 10);
 		this.state = State.STATUS_LF;
-		return (this.status == CONTINUE || this.status >= OK) ? null : FramingFault.STATUS_LINE;
+		return (this.status == CONTINUE || (this.status >= OK && this.status <= MAX_STATUS)) ? null
+				: FramingFault.STATUS_LINE;
 	}
 
 	private @Nullable FramingFault checkField(String text) {
--- a/io/src/test/java/org/banyanstile/io/http/ResponseFramingTests.java
+++ b/io/src/test/java/org/banyanstile/io/http/ResponseFramingTests.java
@@ -99,6 +99,14 @@
 		assertThat(framing.isComplete(), is(false));
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "000", "001", "099", "101", "199", "600", "999" })
+	void statusThatIsNoFinalOneIsMalformed(String status) throws Exception {
+		try (HostilePeer peer = HostilePeer.whole("HTTP/1.1 " + status + " Odd\r\nContent-Length: 4\r\n\r\nbody")) {
+			assertThrows(MalformedResponseException.class, () -> this.client.send(request(peer, "GET")).text(1000));
+		}
+	}
+
 	@ParameterizedTest
 	@EnumSource
 	void validResponseIsReadInAnyParts(ValidResponse valid) throws Exception {
