Do not continue a stream at an engine that was replaced under its id

An endpoint may start again under its id and address, so a request that was sent for one software version can be answered by another. StreamVersionTests.engineThatStartsAgainWithAnotherVersionDoesNotContinueAStream failed: the events of the later version followed those of the earlier one. When the response begins, the registered version is compared with the one for which the engine was chosen. An entry that arrives after the response began is not seen.

--- a/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
+++ b/server/src/main/java/org/banyanstile/server/router/GenerationRun.java
@@ -408,6 +408,11 @@
 	// The caller keeps the head of the first response.
 	private void startOrContinue(HttpResponse response, RegisteredEndpoint engine)
 			throws StreamMismatchException, IOException {
+		RegisteredEndpoint registered = this.services.view().snapshot().all().get(engine.id());
+		if (registered != null && !registered.hasVersionOf(engine)) {
+			throw new StreamMismatchException(
+					engine.id() + " was replaced by software version " + registered.version());
+		}
 		String type = String.valueOf(response.header(CONTENT_TYPE)).split(";", 2)[0].strip();
 		if (!this.call.response().isStarted()) {
 			this.contentType = type;
