Register a VM again when the store may have lost its row

The store may return from a copy without the row of a VM that has just registered. The VM read the rows again after ten seconds, in a fleet of 1,100 VMs after 23 minutes; meanwhile one that starts in a network partition does not know it and takes a larger share of the limits. A VM whose row is younger than a minute when a later era of the store becomes known now reads the rows at once. VmRegistrationTests.rowThatTheStoreMayHaveLostIsLookedAtAtOnce has no counterpart on the code before.

--- a/server/src/main/java/org/banyanstile/server/gossip/VmRegistration.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/VmRegistration.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import org.banyanstile.core.common.Ticker;
 import org.banyanstile.core.common.VmId;
@@ -32,6 +33,16 @@
 	 */
 	private static final long READ_INTERVAL_MILLIS = 10_000;
 
+	/**
+	 * Time after its write in which a row is lost if the store returns from a copy.
+	 */
+	private static final long COPY_NANOS = 60_000_000_000L;
+
+	/**
+	 * Longest pause between two looks at the era of the store.
+	 */
+	private static final long ERA_CHECK_MILLIS = 1000;
+
 	/**
 	 * Number of VMs above which each reads less often, so that the calls of all VMs
 	 * together stay below one a second.
@@ -45,6 +56,8 @@
 
 	private final TableSource source;
 
+	private final LongSupplier era;
+
 	private final Membership membership;
 
 	private final Ticker ticker;
@@ -55,8 +68,14 @@
 
 	private volatile boolean closed;
 
-	private VmRegistration(TableSource source, Membership membership, Ticker ticker, DecisionLog log) {
+	private long registeredAtNanos;
+
+	private long registeredEra = -1;
+
+	private VmRegistration(TableSource source, LongSupplier era, Membership membership, Ticker ticker,
+			DecisionLog log) {
 		this.source = source;
+		this.era = era;
 		this.membership = membership;
 		this.ticker = ticker;
 		this.log = log;
@@ -65,13 +84,15 @@
 	/**
 	 * Creates the registration of a VM, which is idle until {@link #start} is called.
 	 * @param source the store
+	 * @param era returns the era of the store as this VM knows it
 	 * @param membership the VMs whose heartbeats are received
 	 * @param ticker time source
 	 * @param log log of changes
 	 * @return the registration
 	 */
-	public static VmRegistration create(TableSource source, Membership membership, Ticker ticker, DecisionLog log) {
-		return new VmRegistration(source, membership, ticker, log);
+	public static VmRegistration create(TableSource source, LongSupplier era, Membership membership, Ticker ticker,
+			DecisionLog log) {
+		return new VmRegistration(source, era, membership, ticker, log);
 	}
 
 	/**
@@ -97,8 +118,34 @@
 			catch (RuntimeException | Error ex) {
 				this.log.problem("a VM row of the store is invalid", ex);
 			}
-			pause(pause);
+			pauseUnlessLost(pause);
+		}
+	}
+
+	// A VM that starts in a network partition depends on the rows, and in a large fleet
+	// the
+	// next read is minutes away.
+	private void pauseUnlessLost(long millis) {
+		long end = this.ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(millis);
+		long left = millis;
+		while (left > 0 && !isRowLost() && !this.closed) {
+			pause(Math.min(left, ERA_CHECK_MILLIS));
+			left = TimeUnit.NANOSECONDS.toMillis(end - this.ticker.nanos());
+		}
+	}
+
+	/**
+	 * Returns whether the store has returned from a copy soon after the row of this VM
+	 * was written, so that it may lack the row.
+	 * @return whether it has, once for each return
+	 */
+	boolean isRowLost() {
+		long now = this.era.getAsLong();
+		if (this.registeredEra < 0 || now <= this.registeredEra) {
+			return false;
 		}
+		this.registeredEra = now;
+		return this.ticker.nanos() - this.registeredAtNanos < COPY_NANOS;
 	}
 
 	/**
@@ -114,6 +161,8 @@
 			.anyMatch((row) -> row.vm().equals(self.vm()) && row.peerAddress().equals(self.peerAddress()));
 		if (!hasOwnRow) {
 			this.source.register(self.vm(), self.peerAddress());
+			this.registeredAtNanos = this.ticker.nanos();
+			this.registeredEra = this.era.getAsLong();
 			this.log.stateChange("registered", "rows", rows.size());
 		}
 		Set<VmId> missing = updateRegistered(rows);
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -166,7 +166,8 @@
 				settings.dataCentre(), text(addresses.callers()), ownPeerAddress, MemberState.STARTING.ordinal()));
 		EndpointLoads loads = new EndpointLoads();
 		EndpointHealth health = new EndpointHealth();
-		VmRegistration registration = VmRegistration.create(platform.source(), membership, ticker, log);
+		VmRegistration registration = VmRegistration.create(platform.source(),
+				() -> Math.max(platform.source().era(), view.era().number()), membership, ticker, log);
 		TeamQuotas quotas = new TeamQuotas(ticker, settings.limitTolerance(), registration::others);
 		GracefulShutdown shutdown = GracefulShutdown.of(settings.shutdown(), ticker);
 		RoleChanges roleChanges = new RoleChanges();
--- a/server/src/test/java/org/banyanstile/server/gossip/VmRegistrationTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/VmRegistrationTests.java
@@ -26,6 +26,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
 
 /**
  * Tests for {@link VmRegistration}.
@@ -40,8 +41,8 @@
 
 	private long now;
 
-	private final VmRegistration registration = VmRegistration.create(this.source, this.membership, () -> this.now,
-			DecisionLog.create());
+	private final VmRegistration registration = VmRegistration.create(this.source, this.source::era, this.membership,
+			() -> this.now, DecisionLog.create());
 
 	private static GossipMember member(String vm, long heartbeat) {
 		return new GossipMember(vm, 1, heartbeat, "dc", "127.0.0.1:1", address(vm), MemberState.SERVING.ordinal());
@@ -110,6 +111,19 @@
 		assertThat(this.source.names(), contains("vm2"));
 	}
 
+	@Test
+	void rowThatTheStoreMayHaveLostIsLookedAtAtOnce() throws Exception {
+		this.registration.reconcile();
+		assertThat(this.registration.isRowLost(), is(false));
+		this.source.era = 2;
+		this.now += 30_000_000_000L;
+		assertThat(this.registration.isRowLost(), is(true));
+		assertThat(this.registration.isRowLost(), is(false));
+		this.source.era = 3;
+		this.now += 60_000_000_000L;
+		assertThat(this.registration.isRowLost(), is(false));
+	}
+
 	/**
 	 * Store that holds only rows of VMs.
 	 *
@@ -121,6 +135,8 @@
 
 		private long version;
 
+		private long era = 1;
+
 		private void add(String vm) {
 			this.rows.add(new VmRow(vm, address(vm), ++this.version));
 		}
@@ -131,7 +147,7 @@
 
 		@Override
 		public long era() {
-			return 0;
+			return this.era;
 		}
 
 		@Override
