Name what a reservation asks of an engine and print versions as text

No change of behaviour: the engines that a reservation may use are looked up in one place, and the line on the era of the store shows versions as era and number, as the others do.

--- a/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
+++ b/server/src/main/java/org/banyanstile/server/router/DecodeReservations.java
@@ -108,25 +108,21 @@
 	}
 
 	private boolean isBoundToOneOfSeveral() {
-		return this.version != null && this.services.view()
-			.snapshot()
-			.usable()
-			.getOrDefault(this.call.service(), List.of())
-			.stream()
-			.anyMatch((engine) -> !isPossible(engine));
+		return this.version != null && !usableEngines().stream().allMatch(this::hasRequiredVersion);
 	}
 
-	private boolean isPossible(RegisteredEndpoint engine) {
+	private boolean hasRequiredVersion(RegisteredEndpoint engine) {
 		return this.version == null || this.version.equals(engine.version());
 	}
 
-	// Whether engines of other versions only serve, in whatever role.
+	// Returns whether engines of other versions only serve, in whatever role.
 	private boolean hasVersionLeft() {
-		List<RegisteredEndpoint> engines = this.services.view()
-			.snapshot()
-			.usable()
-			.getOrDefault(this.call.service(), List.of());
-		return !engines.isEmpty() && engines.stream().noneMatch(this::isPossible);
+		List<RegisteredEndpoint> engines = usableEngines();
+		return !engines.isEmpty() && engines.stream().noneMatch(this::hasRequiredVersion);
+	}
+
+	private List<RegisteredEndpoint> usableEngines() {
+		return this.services.view().snapshot().usable().getOrDefault(this.call.service(), List.of());
 	}
 
 	// Returns the reservation, or {@code null} if no scheduler answers.
@@ -183,7 +179,7 @@
 	private @Nullable DecodeReservation tryReserve(PlacementAnswer.Placed placed, SchedulerTicket ticket) {
 		RegisteredEndpoint engine = this.services.engines(this.call.service(), EndpointRole.DECODE)
 			.stream()
-			.filter((candidate) -> candidate.id().equals(placed.engine()) && isPossible(candidate))
+			.filter((candidate) -> candidate.id().equals(placed.engine()) && hasRequiredVersion(candidate))
 			.findFirst()
 			.orElse(null);
 		if (engine == null || !this.services.tryAcquireRate(engine)) {
@@ -283,12 +279,7 @@
 	}
 
 	private @Nullable DecodeReservation tryReserve(Predicate<RegisteredEndpoint> candidate, boolean late) {
-		List<RegisteredEndpoint> engines = ((this.version != null)
-				? this.services.decodeEngines(this.call.service(), this.version)
-				: this.services.decodeEngines(this.call))
-			.stream()
-			.filter(candidate)
-			.toList();
+		List<RegisteredEndpoint> engines = decodeEngines().stream().filter(candidate).toList();
 		List<RegisteredEndpoint> ordered = this.services.picker()
 			.mostFreeMemory(engines, this.traits.memoryTokens(), this.tokens, System.nanoTime());
 		int asked = 0;
@@ -319,6 +310,11 @@
 		return null;
 	}
 
+	private List<RegisteredEndpoint> decodeEngines() {
+		return (this.version != null) ? this.services.decodeEngines(this.call.service(), this.version)
+				: this.services.decodeEngines(this.call);
+	}
+
 	private @Nullable String reserve(RegisteredEndpoint engine) {
 		long roundedTokens = (this.tokens + BLOCK_TOKENS - 1) / BLOCK_TOKENS * BLOCK_TOKENS;
 		try {
--- a/server/src/main/java/org/banyanstile/server/view/FleetReader.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetReader.java
@@ -159,8 +159,9 @@
 		long era = this.source.era();
 		if (era != this.loggedEra) {
 			this.log.lifecycle("store era", "era", era, "previous", this.loggedEra, "operatorVersion",
-					this.view.version(FleetTable.OPERATOR), "endpointVersion", this.view.version(FleetTable.ENDPOINTS),
-					"storeMillis", this.view.storeMillis(FleetTable.OPERATOR));
+					StoreVersion.toText(this.view.version(FleetTable.OPERATOR)), "endpointVersion",
+					StoreVersion.toText(this.view.version(FleetTable.ENDPOINTS)), "storeMillis",
+					this.view.storeMillis(FleetTable.OPERATOR));
 			this.loggedEra = era;
 		}
 	}
