Do not pass on changes that may lack removals before a whole read

What callers saw: while the VM that reads the store was cut off from it and other VMs were replaced, VMs went on sending bookings to endpoints whose entries were removed up to 8 s before.

Cause: a copy of a table that was read as a whole knows the rows of that moment, not what was removed before it, nor what was added and removed since its last state. It still claimed to retain every change after any earlier version, so a VM that had just started passed on rows without the removals, and the receiver took its copy for complete up to the newer version. It never asked for the removals again.

Change: a read of a whole table that advances the copy raises the version up to which removals may be missing, so that VMs behind it get the whole table, which shows removals by leaving rows out.

--- a/core/src/main/java/org/banyanstile/core/replica/TableReplica.java
+++ b/core/src/main/java/org/banyanstile/core/replica/TableReplica.java
@@ -48,6 +48,9 @@
 
 	private long complete = -1;
 
+	/**
+	 * Version up to which removals may be missing from {@link #removed}.
+	 */
 	private long discardedVersion = -1;
 
 	private long storeMillis = -1;
@@ -144,6 +147,11 @@
 			}
 		}
 		all.forEach((row) -> put(row, changed));
+		if (version > this.complete) {
+			// The whole table does not show rows that were added and removed before it
+			// was read.
+			this.discardedVersion = version;
+		}
 		advance(version, millis);
 		return changed;
 	}
@@ -301,7 +309,8 @@
 	}
 
 	/**
-	 * Returns whether all changes after a version are retained individually.
+	 * Returns whether all changes after a version are retained individually, removals
+	 * included. None before a read of the whole table are.
 	 * @param version the version
 	 * @return whether they are
 	 */
--- a/core/src/test/java/org/banyanstile/core/replica/TableReplicaTests.java
+++ b/core/src/test/java/org/banyanstile/core/replica/TableReplicaTests.java
@@ -65,6 +65,96 @@
 		assertThat(this.replica.replace(List.of(row("b", 2)), 5, 110), contains("a"));
 	}
 
+	// Guards against a removed endpoint that stays in use since a VM that has just
+	// started
+	// passed on later changes without its removal.
+	@Test
+	void copyThatReadTheWholeTableDoesNotClaimToKnowEarlierRemovals() {
+		TableReplica started = TableReplica.create();
+		started.replace(List.of(row("b", 4)), 9, 120);
+		assertThat(started.retainsChangesAfter(8), is(false));
+		assertThat(started.retainsChangesAfter(9), is(true));
+		this.replica.replace(List.of(row("a", 3)), 3, 100);
+		passOn(started, this.replica);
+		assertThat(value(this.replica, "a"), is(-1));
+		assertThat(value(this.replica, "b"), is(4));
+	}
+
+	@Test
+	void copyThatReadTheWholeTableAnewDoesNotKnowWhatWasAddedAndRemovedMeanwhile() {
+		this.replica.replace(List.of(), 2, 100);
+		TableReplica behind = TableReplica.create();
+		behind.replace(List.of(row("a", 5)), 5, 110);
+		this.replica.replace(List.of(), 9, 120);
+		passOn(this.replica, behind);
+		assertThat(behind.rows(), is(empty()));
+	}
+
+	@Test
+	void copiesThatStartAtAnyTimeAgreeWithTheStore() {
+		for (int seed = 0; seed < 300; seed++) {
+			Random random = new Random(seed);
+			List<ReplicaRow> history = history(random);
+			List<TableReplica> copies = new ArrayList<>();
+			for (int now = 0; now <= history.size(); now++) {
+				List<ReplicaRow> written = history.subList(0, now);
+				if (random.nextInt(6) == 0) {
+					copies.add(TableReplica.create());
+				}
+				if (!copies.isEmpty()) {
+					readOrPassOn(random, copies, written);
+				}
+			}
+			copies.add(TableReplica.create());
+			TableReplica last = copies.get(copies.size() - 1);
+			readWhole(last, history);
+			for (TableReplica copy : copies) {
+				passOn(last, copy);
+				assertThat("seed " + seed, versions(copy), is(present(history)));
+			}
+		}
+	}
+
+	private static void readOrPassOn(Random random, List<TableReplica> copies, List<ReplicaRow> written) {
+		TableReplica to = copies.get(random.nextInt(copies.size()));
+		if (to.complete() < 0 || random.nextInt(10) == 0) {
+			readWhole(to, written);
+		}
+		else if (random.nextInt(4) == 0) {
+			to.apply(after(written, to.complete()), to.complete(), written.size(), written.size());
+		}
+		else {
+			passOn(copies.get(random.nextInt(copies.size())), to);
+		}
+	}
+
+	private static void readWhole(TableReplica copy, List<ReplicaRow> written) {
+		Map<String, ReplicaRow> rows = new HashMap<>();
+		written.forEach((row) -> rows.put(row.key(), row));
+		rows.values().removeIf((row) -> row.value() == null);
+		copy.replace(rows.values(), written.size(), written.size());
+	}
+
+	// As one VM passes on to another what that one lacks.
+	private static void passOn(TableReplica from, TableReplica to) {
+		long after = to.complete();
+		if (from.complete() <= after) {
+			return;
+		}
+		if (from.retainsChangesAfter(after)) {
+			to.apply(from.changesAfter(after), after, from.complete(), from.storeMillis());
+		}
+		else {
+			to.replace(from.storeRows(), from.complete(), from.storeMillis());
+		}
+	}
+
+	private static Map<String, Long> versions(TableReplica copy) {
+		Map<String, Long> versions = new HashMap<>();
+		copy.rows().forEach((row) -> versions.put(row.key(), row.version()));
+		return versions;
+	}
+
 	@Test
 	void copiesThatExchangeChangesInAnyOrderAgreeWithTheStore() {
 		for (int seed = 0; seed < 300; seed++) {
@@ -79,9 +169,7 @@
 					history.size()));
 			Map<String, Long> expected = present(history);
 			for (TableReplica copy : copies) {
-				Map<String, Long> actual = new HashMap<>();
-				copy.rows().forEach((row) -> actual.put(row.key(), row.version()));
-				assertThat("seed " + seed, actual, is(expected));
+				assertThat("seed " + seed, versions(copy), is(expected));
 			}
 		}
 	}
