Send nothing more to an endpoint that says that it leaves

What callers saw: while the store was down, an endpoint left and said so in all its responses.

Cause: the heads of responses were read for the id, the seal, the proof that a request has not run and the request limit, but not for the notice that the endpoint leaves. The table of the store was the only source for that.

Change: each response that is bound to its request, and each response to a control call, is read for the notice before its body. LeavingEndpoints in core keeps notices for one start of an endpoint, so a successor at its address, or one that starts again with its id, gets work. FleetView leaves such endpoints out of the usable ones, which every choice and the last check before a send read. VMs pass notices on in each gossip round while the registration does not say that the endpoint leaves.

--- a/benchmark/src/main/java/org/banyanstile/benchmark/GossipSlopes.java
+++ b/benchmark/src/main/java/org/banyanstile/benchmark/GossipSlopes.java
@@ -57,7 +57,7 @@
 			.toList();
 		return new GossipState(member(0, heartbeat), members, loads, uses, List.of(), List.of(), List.of(),
 				List.of(1000L, 2000L), List.of(50_000_000L, 50_000_000L), false, GossipEngines.none(), 1L,
-				new GossipVersions(60_000, List.of()));
+				new GossipVersions(60_000, List.of()), List.of());
 	}
 
 	private static void datagrams(SlopeTable table, int vms) {
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.placement.LeavingReport;
 import org.banyanstile.core.replica.ReplicaRow;
 import org.banyanstile.io.frame.Message;
 import org.banyanstile.io.frame.MessageCodec;
@@ -150,6 +151,7 @@
 			.registerNested(GossipRoleChange.class)
 			.registerNested(GossipCrashes.class)
 			.registerNested(GossipLimit.class)
+			.registerNested(GossipLeaving.class)
 			.registerNested(GossipRow.class)
 			.registerNested(GossipWork.class)
 			.registerNested(GossipSpeed.class)
@@ -291,7 +293,22 @@
 		List<GossipMember> peers = withMembers ? this.membership.alivePeers(this.ticker.nanos()) : List.of();
 		return new GossipState(this.membership.self(), peers, this.local.loads(), this.local.uses(),
 				this.local.roleChanges(), this.local.crashes(), this.local.limits(), versions, millis, reply,
-				this.local.engines(), this.view.configurationVersion(), this.local.versions());
+				this.local.engines(), this.view.configurationVersion(), this.local.versions(), leaving());
+	}
+
+	private List<GossipLeaving> leaving() {
+		return this.view.leavingReports()
+			.stream()
+			.map((report) -> new GossipLeaving(report.endpoint(), report.startMillis(), report.ageMillis()))
+			.toList();
+	}
+
+	private void receiveLeaving(@Nullable List<GossipLeaving> leaving) {
+		if (leaving != null) {
+			this.view.recordLeaving(leaving.stream()
+				.map((notice) -> new LeavingReport(notice.endpoint(), notice.startMillis(), notice.ageMillis()))
+				.toList());
+		}
 	}
 
 	private void send(ByteBuffer datagram, SocketAddress target) {
@@ -348,6 +365,7 @@
 		members.add(state.self());
 		this.membership.merge(members, this.ticker.nanos());
 		this.local.received(state);
+		receiveLeaving(state.leaving());
 		boolean behind = false;
 		for (int i = 0; i < Math.min(TABLE_COUNT, state.versions().size()); i++) {
 			FleetTable table = FleetTable.values()[i];
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipState.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipState.java
@@ -24,11 +24,13 @@
  * {@code null} from a VM that does not send it
  * @param versionHistory software versions that have served, {@code null} from a VM that
  * does not send them
+ * @param leaving endpoints that said that they leave, {@code null} from a VM that does
+ * not send them
  * @author banyanstile contributors
  */
 public record GossipState(GossipMember self, List<GossipMember> members, List<GossipLoad> loads, List<GossipUse> uses,
 		List<GossipRoleChange> roleChanges, List<GossipCrashes> crashes, List<GossipLimit> limits, List<Long> versions,
 		List<Long> millis, boolean reply, @Nullable GossipEngines engines, @Nullable Long configuration,
-		@Nullable GossipVersions versionHistory) {
+		@Nullable GossipVersions versionHistory, @Nullable List<GossipLeaving> leaving) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
+++ b/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
@@ -1,6 +1,7 @@
 package org.banyanstile.server.router;
 
 import java.time.Duration;
+import java.util.function.Consumer;
 
 import org.banyanstile.core.attempt.ConnectionReuse;
 import org.banyanstile.core.attempt.RefusalStatus;
@@ -38,16 +39,29 @@
 
 	private final EndpointLimits limits;
 
+	private final Consumer<RegisteredEndpoint> leaving;
+
 	private final DecisionLog log;
 
 	private final RouterMetrics metrics;
 
+	/**
+	 * Creates a client.
+	 * @param client client that sends the requests
+	 * @param protocol header fields
+	 * @param health health of the endpoints
+	 * @param limits request limits of the endpoints
+	 * @param leaving called with each endpoint that says that it leaves
+	 * @param log log of changes
+	 * @param metrics metrics
+	 */
 	EndpointClient(HttpClient client, RequestProtocol protocol, EndpointHealth health, EndpointLimits limits,
-			DecisionLog log, RouterMetrics metrics) {
+			Consumer<RegisteredEndpoint> leaving, DecisionLog log, RouterMetrics metrics) {
 		this.client = client;
 		this.protocol = protocol;
 		this.health = health;
 		this.limits = limits;
+		this.leaving = leaving;
 		this.log = log;
 		this.metrics = metrics;
 	}
@@ -103,7 +117,7 @@
 		if (id != null && !id.equals(fields.attemptId())) {
 			throw foreignResponse(endpoint, response, fields);
 		}
-		recordLimit(endpoint, fields.requestsPerSecond());
+		recordNotices(endpoint, fields);
 		if (RefusalStatus.isPromise(response.status())) {
 			throw discarded(response, endpoint.id() + " responded with " + response.status()
 					+ " and did not say that the request has not run");
@@ -127,7 +141,7 @@
 			this.health.replaced(endpoint.id(), System.nanoTime());
 			return NotRunException.refused("another instance responds at " + endpoint.address(), refusal);
 		}
-		recordLimit(endpoint, fields.requestsPerSecond());
+		recordNotices(endpoint, fields);
 		drainRefusal(response);
 		return NotRunException.refused("refused by " + endpoint.id() + " with " + response.status(), refusal);
 	}
@@ -145,7 +159,13 @@
 		return new UnknownOutcomeException(reason);
 	}
 
-	private void recordLimit(RegisteredEndpoint endpoint, double perSecond) {
+	// Records what an endpoint says of itself, in a response that is bound to its
+	// request.
+	private void recordNotices(RegisteredEndpoint endpoint, ResponseFields fields) {
+		if (fields.leaving()) {
+			this.leaving.accept(endpoint);
+		}
+		double perSecond = fields.requestsPerSecond();
 		if (this.limits.named(endpoint.id(), perSecond, System.nanoTime())) {
 			this.log.stateChange("request limit", "endpoint", endpoint.id(), "service", endpoint.service(), "perSecond",
 					(perSecond >= 0) ? perSecond : "none");
--- a/server/src/main/java/org/banyanstile/server/router/EngineCalls.java
+++ b/server/src/main/java/org/banyanstile/server/router/EngineCalls.java
@@ -1,6 +1,7 @@
 package org.banyanstile.server.router;
 
 import java.time.Duration;
+import java.util.function.Consumer;
 
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
@@ -14,6 +15,13 @@
  */
 public interface EngineCalls {
 
+	/**
+	 * Sets the listener for engines that leave. Called before the first call to an
+	 * engine.
+	 * @param listener called with each engine that says in a response that it leaves
+	 */
+	void onLeaving(Consumer<RegisteredEndpoint> listener);
+
 	/**
 	 * Reserves memory and an endpoint slot at a decode engine.
 	 * @param engine the engine
--- a/server/src/main/java/org/banyanstile/server/router/ResponseFields.java
+++ b/server/src/main/java/org/banyanstile/server/router/ResponseFields.java
@@ -11,8 +11,10 @@
  * @param notRun whether the endpoint says that it did not run the request
  * @param requestsPerSecond requests a second that the endpoint takes from all VMs
  * together, {@link EndpointLimits#UNLIMITED} if it names no limit
+ * @param leaving whether the endpoint says that it leaves
  * @author banyanstile contributors
  */
-public record ResponseFields(@Nullable String attemptId, boolean sealed, boolean notRun, double requestsPerSecond) {
+public record ResponseFields(@Nullable String attemptId, boolean sealed, boolean notRun, double requestsPerSecond,
+		boolean leaving) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import io.micrometer.core.instrument.MeterRegistry;
@@ -17,6 +18,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.EndpointRole;
+import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.common.Ticker;
 import org.banyanstile.core.limit.BodyBudget;
 import org.banyanstile.core.limit.EndpointLimits;
@@ -25,6 +27,7 @@
 import org.banyanstile.core.placement.EndpointHealth;
 import org.banyanstile.core.placement.EndpointLoads;
 import org.banyanstile.core.placement.EndpointPicker;
+import org.banyanstile.core.placement.LeavingReport;
 import org.banyanstile.core.placement.RoleChanges;
 import org.banyanstile.core.quarantine.CrashEvidence;
 import org.banyanstile.core.quarantine.CrashQuarantine;
@@ -176,11 +179,14 @@
 		Rollouts rollouts = Rollouts.create(view, loads, ticker, log);
 		PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 		RouterMetrics metrics = new RouterMetrics(registry);
+		Consumer<RegisteredEndpoint> leaving = (endpoint) -> view
+			.recordLeaving(List.of(new LeavingReport(endpoint.id(), endpoint.startMillis(), 0)));
+		platform.engines().onLeaving(leaving);
 		metrics.bindStoreEra(platform.source());
 		RouterServices services = new RouterServices(settings, view, roleChanges, platform.requests(),
 				platform.engines(), loads, health, EndpointPicker.create(loads, health, new Random()),
-				new EndpointClient(platform.client(), platform.requests(), health, limits, log, metrics), limits,
-				(key) -> membership.position(key, ticker.nanos()), quarantine,
+				new EndpointClient(platform.client(), platform.requests(), health, limits, leaving, log, metrics),
+				limits, (key) -> membership.position(key, ticker.nanos()), quarantine,
 				TrialLock.of((rows) -> writeTrials(platform.source(), rows), view.era()),
 				(key) -> FleetPosition.among(key, settings.vm(), registration.others()), bodies, log, metrics, rollouts,
 				StreamVersions.create(view, platform.source(), ticker, log));
--- a/server/src/main/java/org/banyanstile/server/view/FleetView.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetView.java
@@ -15,6 +15,8 @@
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.placement.LeavingEndpoints;
+import org.banyanstile.core.placement.LeavingReport;
 import org.banyanstile.core.quarantine.StoreEra;
 import org.banyanstile.core.replica.ReplicaRow;
 import org.banyanstile.core.replica.StoreVersion;
@@ -83,6 +85,8 @@
 
 	private final RolloutRows rollouts;
 
+	private final LeavingEndpoints leaving = new LeavingEndpoints();
+
 	private final Map<String, Long> keptUntil = new HashMap<>();
 
 	private final Map<String, Long> coldUntil = new HashMap<>();
@@ -307,9 +311,37 @@
 		return until != null && until > this.ticker.nanos();
 	}
 
+	/**
+	 * Records endpoints that said that they leave. They get no new work from now on.
+	 * @param reports what they said, to this VM or to another one
+	 */
+	public void recordLeaving(List<LeavingReport> reports) {
+		if (reports.isEmpty()) {
+			return;
+		}
+		Set<String> added;
+		synchronized (this) {
+			added = this.leaving.merge(reports, this.ticker.nanos());
+			if (!added.isEmpty()) {
+				rebuild();
+			}
+		}
+		added.forEach((id) -> this.log.stateChange("endpoint", "endpoint", id, "leaving", true));
+		notifyListeners(FleetTable.ENDPOINTS, added);
+	}
+
+	/**
+	 * Returns what endpoints said of leaving, to be sent to other VMs.
+	 * @return some of the reports, others in the next call
+	 */
+	public synchronized List<LeavingReport> leavingReports() {
+		return this.leaving.reports(this.endpoints, this.ticker.nanos());
+	}
+
 	/**
 	 * Drops endpoints whose grace period after a mass expiry has ended, and ends the
-	 * grace periods after a return of the store from a copy.
+	 * grace periods after a return of the store from a copy. Forgets old notices of
+	 * endpoints that leave.
 	 */
 	public void dropExpired() {
 		for (FleetTable table : FleetTable.values()) {
@@ -322,7 +354,8 @@
 		}
 		synchronized (this) {
 			long now = this.ticker.nanos();
-			if (this.keptUntil.values().removeIf((until) -> until <= now)) {
+			boolean hasExpired = this.keptUntil.values().removeIf((until) -> until <= now);
+			if (this.leaving.forgetOld(now) || hasExpired) {
 				rebuild();
 			}
 		}
@@ -481,7 +514,7 @@
 		}
 		Map<String, List<RegisteredEndpoint>> usable = new HashMap<>();
 		for (RegisteredEndpoint endpoint : this.endpoints.values()) {
-			if (endpoint.ready() && !evacuated.contains(endpoint.dataCentre())) {
+			if (endpoint.ready() && !evacuated.contains(endpoint.dataCentre()) && !this.leaving.isLeaving(endpoint)) {
 				usable.computeIfAbsent(endpoint.service(), (service) -> new ArrayList<>()).add(endpoint);
 			}
 		}
