Resume streams whose ids increase by more than one

What callers saw: callers whose VM was killed took their streams up at other VMs. Sound engines went on after the last event, and each connection was closed after the head of the response, without one event.

Cause: EventSequence took the ids of a stream for consecutive before it had seen two of them. After the caller's Last-Event-Id, or after a first event, it accepted the id that is greater by one only.

Change: a gap is inferred only once two ids are known, which the caller's last id and the next one may be. Ids that repeat or go back are refused as before, and so is a gap in a stream whose ids are consecutive.

--- a/core/src/main/java/org/banyanstile/core/stream/EventSequence.java
+++ b/core/src/main/java/org/banyanstile/core/stream/EventSequence.java
@@ -4,8 +4,9 @@
 
 /**
  * Checks that the events of a stream have increasing ids, also when another engine
- * resumes the stream after the last event that was forwarded. Not safe for use by several
- * threads.
+ * resumes the stream after the last event that was forwarded. Ids may increase by any
+ * number, as those of engines that count tokens do, so a gap shows only in a stream whose
+ * ids are known to be consecutive. Not safe for use by several threads.
  *
  * @author banyanstile contributors
  */
@@ -24,8 +25,12 @@
 
 	private boolean numbered = true;
 
+	// Whether two ids of the stream are known. A single one does not tell by how much ids
+	// increase.
+	private boolean stepKnown;
+
 	// Whether each id was one greater than the one before, so that a gap shows.
-	private boolean consecutive = true;
+	private boolean consecutive;
 
 	private boolean resuming;
 
@@ -75,12 +80,14 @@
 		if (!this.numbered) {
 			return true;
 		}
-		if (number <= this.lastId || (this.resuming && this.consecutive && number != this.lastId + 1)) {
+		boolean next = number == this.lastId + 1;
+		if (number <= this.lastId || (this.resuming && this.consecutive && !next)) {
 			return false;
 		}
 		this.empty = false;
 		this.resuming = false;
-		this.consecutive &= number == this.lastId + 1;
+		this.consecutive = next && (this.consecutive || !this.stepKnown);
+		this.stepKnown = true;
 		this.lastId = number;
 		return true;
 	}
