Confirm the endpoints before a stream is taken up at the only version known

Cause: a VM took the only version that it knew of for the only one that had served. Its history counted time as watched from the start of the process, also the time in which it was suspended or cut off, and its copy of the endpoints could be of any age: the clock that would tell stands still in a suspended process. It also passed the claim on to others.

Change: - Before a take-up is decided by the only version known, the store is read anew. Requests that come during a read share the next one; numbers order the reads, not the clock. While the store does not respond, all other VMs are asked, and a majority that knows no newer table is enough once the time for answers is over. - A gap in the copy of the endpoints is seen by the clock of the store. What served before its end is not known unless a VM that was not behind reports it, or the store. - A VM that is behind by the clock of the store no longer vouches for the time that it missed. - What this VM knows of a stream itself counts first, without a call. A take-up at the only version is logged too.

The fake of the store in FleetReaderTests is a class of its own now, since a second test uses it.

--- a/core/src/main/java/org/banyanstile/core/stream/VersionHistory.java
+++ b/core/src/main/java/org/banyanstile/core/stream/VersionHistory.java
@@ -34,8 +34,11 @@
 
 	private long completeSince;
 
+	private long watchedSince;
+
 	private VersionHistory(long now) {
 		this.completeSince = now;
+		this.watchedSince = now;
 	}
 
 	/**
@@ -64,6 +67,19 @@
 			.merge(version, at, (one, other) -> (one - other > 0) ? one : other);
 	}
 
+	/**
+	 * Records since when this VM has followed the endpoints without a gap. Versions that
+	 * joined and left in a gap are not known unless others report them.
+	 * @param since the time in nanoseconds at which the latest gap ended
+	 */
+	public synchronized void watchedSince(long since) {
+		if (since - this.watchedSince <= 0) {
+			return;
+		}
+		this.watchedSince = since;
+		this.completeSince = (since - this.completeSince > 0) ? since : this.completeSince;
+	}
+
 	/**
 	 * Merges what another VM, or the store, knows.
 	 * @param versions the versions of services that have had several
--- a/core/src/test/java/org/banyanstile/core/stream/VersionHistoryTests.java
+++ b/core/src/test/java/org/banyanstile/core/stream/VersionHistoryTests.java
@@ -59,6 +59,29 @@
 		assertThat(versions(5, 2), contains("v2"));
 	}
 
+	// Guards against streams that are joined from two versions by a VM that was suspended
+	// or cut off while the second one served.
+	@Test
+	void vmThatMissedATimeDoesNotKnowWhatServedInIt() {
+		serve(1, "v1");
+		this.history.watchedSince(30 * SECOND);
+		assertThat(this.history.isComplete(14 * SECOND, 31 * SECOND), is(false));
+		assertThat(this.history.knownMillis(31 * SECOND), is(1000L));
+		assertThat(this.history.isComplete(14 * SECOND, 44 * SECOND), is(true));
+	}
+
+	@Test
+	void vmThatMissedATimeLearnsFromOneThatDidNot() {
+		serve(1, "v1");
+		this.history.watchedSince(30 * SECOND);
+		this.history.merge(List.of(new ServedVersion("llm", "v2", 4000)), 20_000, 31 * SECOND);
+		this.history.watchedSince(30 * SECOND);
+		assertThat(this.history.isComplete(14 * SECOND, 31 * SECOND), is(true));
+		assertThat(versions(14, 31), contains("v1", "v2"));
+		this.history.watchedSince(32 * SECOND);
+		assertThat(this.history.isComplete(14 * SECOND, 33 * SECOND), is(false));
+	}
+
 	@Test
 	void timeBeyondTheMemoryIsNeverComplete() {
 		long now = 2 * VersionHistory.MEMORY_NANOS;
--- a/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
+++ b/server/src/main/java/org/banyanstile/server/gossip/GossipNode.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.membership.VersionPoll;
 import org.banyanstile.core.placement.LeavingReport;
 import org.banyanstile.core.replica.ReplicaRow;
 import org.banyanstile.io.frame.Message;
@@ -82,6 +83,8 @@
 
 	private final PeerRotation rotation;
 
+	private final VersionPolls polls = new VersionPolls();
+
 	private final ScheduledExecutorService timer;
 
 	private volatile Set<String> seeds = Set.of();
@@ -162,7 +165,9 @@
 			.register(GossipState.class)
 			.registerNested(GossipRouteOutcomes.class)
 			.registerNested(GossipRollout.class)
-			.register(GossipRollouts.class);
+			.register(GossipRollouts.class)
+			.register(GossipVersionQuery.class)
+			.register(GossipVersionAnswer.class);
 	}
 
 	/**
@@ -223,6 +228,28 @@
 		send(allAddresses(), false);
 	}
 
+	/**
+	 * Asks the other VMs whether they know a newer version of a table than this VM.
+	 * @param table the table
+	 * @param others names of all other VMs, also of those that do not respond
+	 * @return whether a majority of all VMs has answered and none knows a newer version
+	 */
+	public boolean isCurrent(FleetTable table, Set<String> others) {
+		long number = this.polls.open(VersionPoll.create(others, this.view.version(table)));
+		Set<String> targets = new LinkedHashSet<>(this.registered);
+		this.membership.knownPeers().forEach((member) -> targets.add(member.peerAddress()));
+		targets.remove(this.membership.self().peerAddress());
+		try {
+			ByteBuffer query = ByteBuffer
+				.wrap(this.codec.encode(new Message(Message.ONE_WAY, new GossipVersionQuery(number, table.ordinal()))));
+			targets.forEach((target) -> sendTo(target, query.duplicate()));
+		}
+		catch (IOException ex) {
+			this.log.problem("cannot encode a question for the version of a table", ex);
+		}
+		return this.polls.await(number);
+	}
+
 	private void round() {
 		try {
 			this.view.dropExpired();
@@ -358,6 +385,14 @@
 		else if (payload instanceof GossipRollouts message) {
 			RolloutExchange.receive(message, this.rollouts);
 		}
+		else if (payload instanceof GossipVersionQuery query) {
+			GossipVersionAnswer answer = new GossipVersionAnswer(query.number(), this.membership.self().vm(),
+					this.view.version(FleetTable.values()[query.table()]));
+			send(ByteBuffer.wrap(this.codec.encode(new Message(Message.ONE_WAY, answer))), sender);
+		}
+		else if (payload instanceof GossipVersionAnswer answer) {
+			this.polls.answered(answer);
+		}
 	}
 
 	private void receive(GossipState state, SocketAddress sender) throws IOException {
--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -57,6 +57,7 @@
 import org.banyanstile.server.gossip.VmRegistration;
 import org.banyanstile.server.scheduling.SchedulerNode;
 import org.banyanstile.server.view.FleetReader;
+import org.banyanstile.server.view.FleetTable;
 import org.banyanstile.server.view.FleetView;
 import org.banyanstile.server.view.RowDecoder;
 import org.banyanstile.server.view.TableSource;
@@ -205,6 +206,9 @@
 		FleetReader reader = FleetReader.create(platform.source(), view, () -> membership.rank(ticker.nanos()), log);
 		reader.start();
 		registration.start(gossip::setRegistered);
+		services.streamVersions()
+			.confirmation()
+			.askPeers(() -> gossip.isCurrent(FleetTable.ENDPOINTS, registration.others()));
 		server.schedule(Duration.ofSeconds(1), () -> {
 			platform.client().closeIdle(MAX_CONNECTION_IDLE);
 			services.metrics().setUsableEndpoints(view.snapshot().usable());
@@ -449,19 +453,26 @@
 						.toList());
 		}
 
-		private void received(GossipVersions versions) {
+		// A VM that is behind may not know of a version that has come and gone.
+		private void received(GossipVersions versions, boolean isRecent) {
 			this.services.streamVersions()
 				.history()
 				.merge(versions.versions()
 					.stream()
 					.map((version) -> new ServedVersion(version.service(), version.version(), version.ageMillis()))
-					.toList(), versions.knownMillis(), this.ticker.nanos());
+					.toList(), isRecent ? versions.knownMillis() : 0, this.ticker.nanos());
+		}
+
+		private boolean isAboutAsRecent(GossipState state) {
+			int endpoints = FleetTable.ENDPOINTS.ordinal();
+			return state.versions().size() > endpoints && state.millis().size() > endpoints && this.view
+				.isAboutAsRecent(FleetTable.ENDPOINTS, state.versions().get(endpoints), state.millis().get(endpoints));
 		}
 
 		@Override
 		public void received(GossipState state) {
 			if (state.versionHistory() != null) {
-				received(state.versionHistory());
+				received(state.versionHistory(), isAboutAsRecent(state));
 			}
 			this.services.observations().report(state.self().vm(), state.engines(), this.ticker.nanos());
 			List<EndpointLoads.Load> reportedLoads = state.loads()
--- a/server/src/main/java/org/banyanstile/server/router/StreamVersions.java
+++ b/server/src/main/java/org/banyanstile/server/router/StreamVersions.java
@@ -14,6 +14,7 @@
 import org.banyanstile.core.stream.StreamOrigin;
 import org.banyanstile.core.stream.StreamOrigins;
 import org.banyanstile.core.stream.VersionHistory;
+import org.banyanstile.server.view.EndpointConfirmation;
 import org.banyanstile.server.view.FleetTable;
 import org.banyanstile.server.view.FleetView;
 import org.banyanstile.server.view.TableSource;
@@ -59,6 +60,8 @@
 
 	private final TableSource store;
 
+	private final EndpointConfirmation confirmation;
+
 	private final VersionHistory history;
 
 	private final StreamOrigins origins = StreamOrigins.create();
@@ -79,6 +82,7 @@
 		this.store = store;
 		this.ticker = ticker;
 		this.log = log;
+		this.confirmation = EndpointConfirmation.create(view, store, ticker, log);
 		this.history = VersionHistory.create(ticker.nanos());
 		this.learnedAtNanos = ticker.nanos() - LEARN_INTERVAL_NANOS;
 	}
@@ -110,10 +114,20 @@
 		}
 	}
 
+	/**
+	 * Returns the versions that have served, without those of gaps in the copy of the
+	 * endpoints.
+	 * @return the history
+	 */
 	VersionHistory history() {
+		this.history.watchedSince(this.view.watchedSince(FleetTable.ENDPOINTS));
 		return this.history;
 	}
 
+	EndpointConfirmation confirmation() {
+		return this.confirmation;
+	}
+
 	StreamOrigins origins() {
 		return this.origins;
 	}
@@ -132,17 +146,20 @@
 		if (!call.route().resumable() || fields.lastEventId() == null) {
 			return null;
 		}
-		long age = longestAgeNanos(call);
-		if (!this.history.isComplete(age, this.ticker.nanos())) {
-			learn();
-		}
-		Set<String> versions = this.history.versions(call.service(), age, this.ticker.nanos());
-		if (versions.size() < 2 && this.history.isComplete(age, this.ticker.nanos())) {
-			return versions.stream().findFirst().orElse(null);
+		String attempt = fields.resumedAttempt();
+		StreamOrigin origin = (attempt != null) ? this.origins.find(attempt) : null;
+		if (origin == null) {
+			long age = longestAgeNanos(call);
+			if (hasServedAlone(call.service(), age) && this.confirmation.confirm()
+					&& hasServedAlone(call.service(), age)) {
+				String version = versions(call.service(), age).stream().findFirst().orElse(null);
+				this.log.request("stream taken up", call.id(), "resumes", attempt, "onlyVersion", version);
+				return version;
+			}
+			origin = (attempt != null) ? readOrigin(attempt) : null;
 		}
-		StreamOrigin origin = (fields.resumedAttempt() != null) ? find(fields.resumedAttempt()) : null;
-		this.log.request("stream taken up", call.id(), "resumes", fields.resumedAttempt(), "origin", origin, "versions",
-				versions);
+		this.log.request("stream taken up", call.id(), "resumes", attempt, "origin", origin, "versions",
+				versions(call.service(), longestAgeNanos(call)));
 		if (origin == null) {
 			throw RejectionException.notRun("the software version that began the stream is not known",
 					RETRY_AFTER_SECONDS);
@@ -151,6 +168,18 @@
 		return origin.service().equals(call.service()) ? origin.version() : null;
 	}
 
+	// Returns whether no more than one version has served, as far as this VM knows.
+	private boolean hasServedAlone(String service, long ageNanos) {
+		if (!history().isComplete(ageNanos, this.ticker.nanos())) {
+			learn();
+		}
+		return versions(service, ageNanos).size() < 2 && history().isComplete(ageNanos, this.ticker.nanos());
+	}
+
+	private Set<String> versions(String service, long ageNanos) {
+		return history().versions(service, ageNanos, this.ticker.nanos());
+	}
+
 	private void noteDeadline(RouterCall call) {
 		long deadline = call.fields().deadlineMillis();
 		if (deadline <= MAX_BELIEVED_RATIO * call.route().timeoutMillis()) {
@@ -201,12 +230,12 @@
 	synchronized boolean learn() {
 		long now = this.ticker.nanos();
 		if (now - this.learnedAtNanos < LEARN_INTERVAL_NANOS) {
-			return this.history.isComplete(VersionHistory.MEMORY_NANOS, now);
+			return history().isComplete(VersionHistory.MEMORY_NANOS, now);
 		}
 		this.learnedAtNanos = now;
 		try {
 			// A version may have served until the next write was due.
-			this.history.merge(this.store.servedVersions()
+			history().merge(this.store.servedVersions()
 				.stream()
 				.map((version) -> new ServedVersion(version.service(), version.version(),
 						Math.max(0, version.ageMillis() - StreamRecorder.MAX_WRITE_INTERVAL_MILLIS)))
@@ -219,11 +248,7 @@
 		}
 	}
 
-	private @Nullable StreamOrigin find(String attempt) {
-		StreamOrigin known = this.origins.find(attempt);
-		if (known != null) {
-			return known;
-		}
+	private @Nullable StreamOrigin readOrigin(String attempt) {
 		try {
 			StreamOrigin stored = this.store.streamOrigin(attempt);
 			if (stored != null) {
--- a/server/src/main/java/org/banyanstile/server/view/FleetView.java
+++ b/server/src/main/java/org/banyanstile/server/view/FleetView.java
@@ -67,6 +67,12 @@
 	 */
 	static final long RETURN_GRACE_NANOS = 5_000_000_000L;
 
+	/**
+	 * Longest time of the store between two confirmations in which a row cannot have come
+	 * and gone: an endpoint that leaves or fails stays registered for longer.
+	 */
+	static final long MAX_GAP_MILLIS = 3000;
+
 	private final RowDecoder decoder;
 
 	private final Ticker ticker;
@@ -93,6 +99,11 @@
 
 	private final Map<FleetTable, Long> confirmedAt = new EnumMap<>(FleetTable.class);
 
+	/**
+	 * Times in nanoseconds at which the latest gap between confirmations ended.
+	 */
+	private final Map<FleetTable, Long> gapEndedAt = new EnumMap<>(FleetTable.class);
+
 	private final long createdAt;
 
 	private final List<Consumer<FleetTable>> listeners = new CopyOnWriteArrayList<>();
@@ -244,9 +255,40 @@
 	}
 
 	private void recordConfirmation(FleetTable table, long earlierMillis) {
-		if (storeMillis(table) != earlierMillis) {
-			this.confirmedAt.put(table, this.ticker.nanos());
+		long millis = storeMillis(table);
+		if (millis == earlierMillis) {
+			return;
 		}
+		long now = this.ticker.nanos();
+		this.confirmedAt.put(table, now);
+		if (earlierMillis >= 0 && Math.abs(millis - earlierMillis) > MAX_GAP_MILLIS) {
+			this.gapEndedAt.put(table, now);
+			this.log.stateChange("gap in the copy of a table", "table", table, "millis", millis - earlierMillis);
+		}
+	}
+
+	/**
+	 * Returns since when the copy of a table was confirmed without a gap. The store's
+	 * clock counts, which goes on while this process is suspended.
+	 * @param table the table
+	 * @return the time in nanoseconds of the latest confirmation that followed a gap, or
+	 * of the creation of this view
+	 */
+	public synchronized long watchedSince(FleetTable table) {
+		return this.gapEndedAt.getOrDefault(table, this.createdAt);
+	}
+
+	/**
+	 * Returns whether the copy of another VM is about as recent as the one of this VM.
+	 * @param table the table
+	 * @param version version up to which the other VM knows all changes
+	 * @param millis the store's time of that version
+	 * @return whether it lacks no more than a row that has come and not gone
+	 */
+	public synchronized boolean isAboutAsRecent(FleetTable table, long version, long millis) {
+		long own = version(table);
+		return own < 0 || version >= 0 && StoreVersion.isSameEra(version, own)
+				&& millis >= storeMillis(table) - MAX_GAP_MILLIS;
 	}
 
 	/**
--- a/server/src/main/java/org/banyanstile/server/view/TableSource.java
+++ b/server/src/main/java/org/banyanstile/server/view/TableSource.java
@@ -44,6 +44,18 @@
 	 */
 	TableRead changes(FleetTable table, long after, Duration wait) throws TableSourceException;
 
+	/**
+	 * Returns the changes of a table so far, for a request that waits for them.
+	 * @param table the table
+	 * @param after version after which changes are wanted
+	 * @return changed and removed rows, empty if there were none
+	 * @throws HistoryLostException if the store no longer has these changes
+	 * @throws TableSourceException if the store did not respond
+	 */
+	default TableRead promptChanges(FleetTable table, long after) throws TableSourceException {
+		return changes(table, after, Duration.ZERO);
+	}
+
 	/**
 	 * Registers a VM, so that other VMs find it when the seeds are down.
 	 * @param vm name of the VM
--- a/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
+++ b/server/src/test/java/org/banyanstile/server/gossip/GossipNodeTests.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -107,6 +108,24 @@
 		await(() -> two.view.version(FleetTable.ENDPOINTS) == 2);
 	}
 
+	@Test
+	void vmThatIsBehindOrCutOffIsNotCurrent() throws Exception {
+		Vm one = start("vm-1");
+		Vm two = start("vm-2", one);
+		Vm three = start("vm-3", one);
+		await(() -> one.knows("vm-2") && one.knows("vm-3"));
+		one.view.replace(FleetTable.ENDPOINTS, new TableRead(List.of(), 2, 2));
+		await(() -> two.view.version(FleetTable.ENDPOINTS) == 2 && three.view.version(FleetTable.ENDPOINTS) == 2);
+		assertThat(one.node.isCurrent(FleetTable.ENDPOINTS, Set.of("vm-2", "vm-3")), is(true));
+		assertThat(one.node.isCurrent(FleetTable.ENDPOINTS, Set.of("vm-2", "vm-3", "vm-4")), is(true));
+		assertThat(one.node.isCurrent(FleetTable.ENDPOINTS, Set.of("vm-2", "vm-4", "vm-5")), is(false));
+		two.node.close();
+		three.view.replace(FleetTable.ENDPOINTS, new TableRead(List.of(), 3, 3));
+		assertThat(
+				one.node.isCurrent(FleetTable.ENDPOINTS, Set.of("vm-3")) && one.view.version(FleetTable.ENDPOINTS) < 3,
+				is(false));
+	}
+
 	@Test
 	void unusableAddressOfAVmDoesNotKeepOthersFromGettingTheState() throws Exception {
 		Vm one = start("vm-1");
--- a/server/src/test/java/org/banyanstile/server/view/FleetReaderTests.java
+++ b/server/src/test/java/org/banyanstile/server/view/FleetReaderTests.java
@@ -9,17 +9,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
-import org.banyanstile.core.canary.RolloutOrder;
-import org.banyanstile.core.canary.RolloutStage;
 import org.banyanstile.core.catalog.Catalog;
 import org.banyanstile.core.catalog.EndpointRole;
 import org.banyanstile.core.catalog.RegisteredEndpoint;
 import org.banyanstile.core.common.Ticker;
-import org.banyanstile.core.quarantine.TrialRow;
-import org.banyanstile.core.quarantine.TrialWrite;
 import org.banyanstile.core.replica.ReplicaRow;
-import org.banyanstile.core.stream.ServedVersion;
-import org.banyanstile.core.stream.StreamOrigin;
 import org.banyanstile.server.router.DecisionLog;
 import org.junit.jupiter.api.Test;
 
@@ -111,7 +105,7 @@
 	 *
 	 * @author banyanstile contributors
 	 */
-	private static final class RowSource extends EmptySource {
+	private static final class RowSource extends EmptyTableSource {
 
 		private final Map<String, ReplicaRow> rows = new TreeMap<>();
 
@@ -189,7 +183,7 @@
 	 *
 	 * @author banyanstile contributors
 	 */
-	private static final class CountingSource extends EmptySource {
+	private static final class CountingSource extends EmptyTableSource {
 
 		private final AtomicInteger calls = new AtomicInteger();
 
@@ -213,80 +207,6 @@
 
 	}
 
-	/**
-	 * Store without rows of VMs.
-	 *
-	 * @author banyanstile contributors
-	 */
-	private abstract static class EmptySource implements TableSource {
-
-		@Override
-		public long era() {
-			return 0;
-		}
-
-		@Override
-		public void register(String vm, String peerAddress) {
-			// Other VMs are not part of these tests.
-		}
-
-		@Override
-		public List<VmRow> registered() {
-			return List.of();
-		}
-
-		@Override
-		public void unregister(VmRow row) {
-			// Other VMs are not part of these tests.
-		}
-
-		@Override
-		public RoleChangeOwnerRow roleChangeOwner() {
-			return new RoleChangeOwnerRow(0, "");
-		}
-
-		@Override
-		public long writeRoleChangeOwner(String vm, long expectedVersion) {
-			return -1;
-		}
-
-		@Override
-		public RolloutRow rollout(String service) {
-			return new RolloutRow(0, null);
-		}
-
-		@Override
-		public long writeRollout(RolloutOrder order, RolloutStage stage, long expectedVersion) {
-			return -1;
-		}
-
-		@Override
-		public TrialWrite writeTrials(List<TrialRow> rows) {
-			return TrialWrite.ofRejected(rows);
-		}
-
-		@Override
-		public void writeStreams(StreamWrite write) {
-			// Streams are not part of these tests.
-		}
-
-		@Override
-		public StreamOrigin streamOrigin(String attempt) {
-			return null;
-		}
-
-		@Override
-		public List<ServedVersion> servedVersions() {
-			return List.of();
-		}
-
-		@Override
-		public List<String> oldStreams(long minAgeMillis) {
-			return List.of();
-		}
-
-	}
-
 	/**
 	 * Decoder that recognizes no row.
 	 *
--- a/server/src/test/java/org/banyanstile/server/view/FleetViewTests.java
+++ b/server/src/test/java/org/banyanstile/server/view/FleetViewTests.java
@@ -74,6 +74,27 @@
 		assertThat(this.view.snapshot().catalog().version(), is(9L));
 	}
 
+	// The clock of this process stands still, as while it is suspended.
+	@Test
+	void gapBetweenConfirmationsIsSeenByTheClockOfTheStore() {
+		long created = this.nanos.get();
+		this.nanos.incrementAndGet();
+		confirm(1, 10_000);
+		confirm(2, 10_000 + FleetView.MAX_GAP_MILLIS);
+		assertThat(this.view.watchedSince(FleetTable.ENDPOINTS), is(created));
+		assertThat(this.view.isAboutAsRecent(FleetTable.ENDPOINTS, 1, 10_000), is(true));
+		confirm(3, 10_001 + 2 * FleetView.MAX_GAP_MILLIS);
+		assertThat(this.view.watchedSince(FleetTable.ENDPOINTS), is(this.nanos.get()));
+		assertThat(this.view.watchedSince(FleetTable.OPERATOR), is(created));
+		assertThat(this.view.isAboutAsRecent(FleetTable.ENDPOINTS, 2, 10_000 + FleetView.MAX_GAP_MILLIS), is(false));
+		assertThat(this.view.isAboutAsRecent(FleetTable.ENDPOINTS, -1, -1), is(false));
+	}
+
+	private void confirm(long to, long millis) {
+		this.view.apply(FleetTable.ENDPOINTS, this.view.version(FleetTable.ENDPOINTS),
+				new TableRead(List.of(), to, millis));
+	}
+
 	@Test
 	void malformedConfigurationKeepsThePreviousOneInForce() {
 		put(FleetTable.OPERATOR, "config", "9");
@@ -215,7 +236,7 @@
 	 *
 	 * @author banyanstile contributors
 	 */
-	private static final class TextDecoder implements RowDecoder {
+	static final class TextDecoder implements RowDecoder {
 
 		@Override
 		public boolean isCatalog(String key) {
