Try paused decode engines again soon if no other is usable

What callers saw: a caller that took a stream up waited for over a second, or until its request was refused after 2.5 s, although sound engines of its version served.

Cause: an engine whose streams break is paused for up to 2.4 s. The longer pauses serve to prefer other engines, but if all engines that may go on with a stream are paused, as the few of one software version can be, requests waited for the end of these pauses.

The new test of EndpointPickerTests failed on the code before.

Change: if no decode engine is usable, those whose last failure is older than the first pause of 0.3 s are tried, but not one at whose address another instance responds.

--- a/core/src/main/java/org/banyanstile/core/placement/EndpointHealth.java
+++ b/core/src/main/java/org/banyanstile/core/placement/EndpointHealth.java
@@ -54,6 +54,7 @@
 		State state = state(endpoint, now);
 		state.unreachable = 0;
 		state.pausedUntil = Long.MIN_VALUE;
+		state.retryAt = Long.MIN_VALUE;
 		if (now >= state.fullUntil) {
 			state.fullCount = 0;
 		}
@@ -73,6 +74,7 @@
 		state.unreachable++;
 		state.failureRate += NEWEST_WEIGHT * (1 - state.failureRate);
 		state.pausedUntil = now + pause;
+		state.retryAt = now + FIRST_PAUSE_NANOS;
 	}
 
 	/**
@@ -85,6 +87,7 @@
 	public synchronized void refused(String endpoint, long now) {
 		State state = state(endpoint, now);
 		state.pausedUntil = Math.max(state.pausedUntil, now + FIRST_PAUSE_NANOS);
+		state.retryAt = now + FIRST_PAUSE_NANOS;
 	}
 
 	/**
@@ -108,7 +111,9 @@
 	 * @param now the current time in nanoseconds
 	 */
 	public synchronized void replaced(String endpoint, long now) {
-		state(endpoint, now).pausedUntil = now + 2 * MAX_PAUSE_NANOS;
+		State state = state(endpoint, now);
+		state.pausedUntil = now + 2 * MAX_PAUSE_NANOS;
+		state.retryAt = state.pausedUntil;
 	}
 
 	/**
@@ -122,6 +127,18 @@
 		return state == null || (now >= state.pausedUntil && now >= state.fullUntil);
 	}
 
+	/**
+	 * Returns whether an endpoint may get a request if none is usable. Requests then wait
+	 * for the first pause only, since longer ones serve to prefer other endpoints.
+	 * @param endpoint id of the endpoint
+	 * @param now the current time in nanoseconds
+	 * @return whether it may
+	 */
+	public synchronized boolean isUsableAsLast(String endpoint, long now) {
+		State state = this.states.get(endpoint);
+		return state == null || (now >= state.retryAt && now >= state.fullUntil);
+	}
+
 	/**
 	 * Returns the expected cost of a request at an endpoint, relative to other endpoints.
 	 * @param endpoint id of the endpoint
@@ -162,6 +179,8 @@
 
 		private long pausedUntil = Long.MIN_VALUE;
 
+		private long retryAt = Long.MIN_VALUE;
+
 		private int fullCount;
 
 		private long fullUntil = Long.MIN_VALUE;
--- a/core/src/main/java/org/banyanstile/core/placement/EndpointPicker.java
+++ b/core/src/main/java/org/banyanstile/core/placement/EndpointPicker.java
@@ -159,7 +159,10 @@
 	}
 
 	/**
-	 * Orders decode engines by the memory that is expected to be free, most first.
+	 * Orders decode engines by the memory that is expected to be free, most first. If all
+	 * are paused, those that may be tried all the same count as usable: the engines of
+	 * one software version can be few, and they may be sound although their streams
+	 * broke.
 	 * @param engines the decode engines
 	 * @param memoryTokens tokens that fit into the memory of one engine
 	 * @param needed tokens that the request needs
@@ -168,9 +171,15 @@
 	 */
 	public List<RegisteredEndpoint> mostFreeMemory(List<RegisteredEndpoint> engines, long memoryTokens, long needed,
 			long now) {
+		if (needed > memoryTokens) {
+			return List.of();
+		}
 		Map<RegisteredEndpoint, Double> scores = new HashMap<>();
+		boolean anyUsable = engines.stream().anyMatch((engine) -> this.health.isUsable(engine.id(), now));
 		for (RegisteredEndpoint engine : engines) {
-			if (this.health.isUsable(engine.id(), now) && needed <= memoryTokens) {
+			boolean isCandidate = anyUsable ? this.health.isUsable(engine.id(), now)
+					: this.health.isUsableAsLast(engine.id(), now);
+			if (isCandidate) {
 				scores.put(engine, loadTokens(engine) + PREFILL_PENALTY * this.loads.prefillTokens(engine.id())
 						+ this.random.nextDouble() * needed);
 			}
--- a/core/src/test/java/org/banyanstile/core/placement/EndpointPickerTests.java
+++ b/core/src/test/java/org/banyanstile/core/placement/EndpointPickerTests.java
@@ -10,6 +10,9 @@
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.nullValue;
@@ -115,6 +118,27 @@
 		assertThat(this.picker.mostFreeMemory(List.of(this.one, this.two), 34_000, 4000, 0).get(0), is(this.two));
 	}
 
+	private List<RegisteredEndpoint> decodeEngines(long now) {
+		return this.picker.mostFreeMemory(List.of(this.one, this.two), 34_000, 4000, now);
+	}
+
+	// Guards against streams that wait for seconds and are refused since all engines of
+	// their version are paused.
+	@Test
+	void decodeEnginesThatAreAllPausedAreTriedAgainAfterTheFirstPause() {
+		for (int i = 0; i < 5; i++) {
+			this.health.unreachable("one", 0);
+			this.health.unreachable("two", 0);
+		}
+		assertThat(decodeEngines(EndpointHealth.FIRST_PAUSE_NANOS - 1), is(empty()));
+		assertThat(decodeEngines(EndpointHealth.FIRST_PAUSE_NANOS), hasSize(2));
+		this.health.replaced("one", EndpointHealth.FIRST_PAUSE_NANOS);
+		assertThat(decodeEngines(EndpointHealth.FIRST_PAUSE_NANOS), contains(this.two));
+		this.health.answered("two", 50, false, EndpointHealth.FIRST_PAUSE_NANOS);
+		this.health.unreachable("one", EndpointHealth.FIRST_PAUSE_NANOS);
+		assertThat(decodeEngines(2 * EndpointHealth.FIRST_PAUSE_NANOS), contains(this.two));
+	}
+
 	@Test
 	void prefillEngineThatWasTriedIsLeftOut() {
 		assertThat(this.picker.leastTokens(List.of(this.one), Set.of("one"), "dc1", 0), is(nullValue()));
