Read the whole endpoint table if a confirmation finds no history

Cause: a store that has lost its history responds, but the confirmation of the endpoints took its answer for a failure, asked the other VMs and left the store out for a second.

Change: the whole table is read, as the reader of the tables does.

--- a/server/src/main/java/org/banyanstile/server/view/EndpointConfirmation.java
+++ b/server/src/main/java/org/banyanstile/server/view/EndpointConfirmation.java
@@ -5,6 +5,7 @@
 import java.util.function.BooleanSupplier;
 
 import org.banyanstile.core.common.Ticker;
+import org.banyanstile.core.replica.StoreVersion;
 import org.banyanstile.server.router.DecisionLog;
 import org.jspecify.annotations.Nullable;
 
@@ -111,13 +112,7 @@
 			return false;
 		}
 		try {
-			long after = this.view.version(FleetTable.ENDPOINTS);
-			if (after < 0) {
-				this.view.replace(FleetTable.ENDPOINTS, this.store.readAll(FleetTable.ENDPOINTS));
-			}
-			else {
-				this.view.apply(FleetTable.ENDPOINTS, after, this.store.promptChanges(FleetTable.ENDPOINTS, after));
-			}
+			readChanges();
 			this.storeFailedAt = null;
 			return true;
 		}
@@ -128,6 +123,21 @@
 		}
 	}
 
+	private void readChanges() throws TableSourceException {
+		long after = this.view.version(FleetTable.ENDPOINTS);
+		if (after >= 0) {
+			try {
+				this.view.apply(FleetTable.ENDPOINTS, after, this.store.promptChanges(FleetTable.ENDPOINTS, after));
+				return;
+			}
+			catch (HistoryLostException ex) {
+				this.log.stateChange("history lost", "table", FleetTable.ENDPOINTS, "version",
+						StoreVersion.toText(after), "reason", ex.getMessage());
+			}
+		}
+		this.view.replace(FleetTable.ENDPOINTS, this.store.readAll(FleetTable.ENDPOINTS));
+	}
+
 	/**
 	 * One read of the store, or poll of other VMs. Numbers order them, since the clock
 	 * may stand still.
--- a/server/src/test/java/org/banyanstile/server/view/EndpointConfirmationTests.java
+++ b/server/src/test/java/org/banyanstile/server/view/EndpointConfirmationTests.java
@@ -57,6 +57,15 @@
 		assertThat(this.polls.get(), is(0));
 	}
 
+	@Test
+	void wholeTableIsReadIfTheStoreHasNoHistory() {
+		assertThat(this.confirmation.confirm(), is(true));
+		this.source.version = 7;
+		this.source.historyLost = true;
+		assertThat(this.confirmation.confirm(), is(true));
+		assertThat(this.view.version(FleetTable.ENDPOINTS), is(7L));
+	}
+
 	@Test
 	void otherVmsAreAskedWhileTheStoreDoesNotRespond() {
 		assertThat(this.confirmation.confirm(), is(true));
@@ -122,6 +131,8 @@
 
 		private volatile boolean down;
 
+		private volatile boolean historyLost;
+
 		private volatile Step beforeResponse = () -> {
 		};
 
@@ -132,6 +143,9 @@
 
 		@Override
 		public TableRead changes(FleetTable table, long after, Duration wait) throws TableSourceException {
+			if (this.historyLost) {
+				throw new HistoryLostException("no history");
+			}
 			return read();
 		}
 
