Send nothing to an endpoint for as long as it asks with its refusal

What callers saw: nothing by itself.

Cause: the field was not read, as the notice of leaving had not been: what an endpoint says of itself was left out.

Evidence: with the check of the time switched off, endpointThatAsksForAPauseGetsNothingMeanwhile of RequestLimitTests failed.

Change: the field of a 503 that is bound to its request is read, up to five minutes, and the endpoint gets no request and no reservation of this VM in that time. Unlike a pause, this holds also if no other endpoint is usable.

--- a/core/src/main/java/org/banyanstile/core/placement/EndpointHealth.java
+++ b/core/src/main/java/org/banyanstile/core/placement/EndpointHealth.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Health of endpoints, measured by the requests of this VM. An endpoint that cannot be
@@ -35,6 +36,11 @@
 	 */
 	static final long MAX_FULL_PAUSE_NANOS = 4_000_000_000L;
 
+	/**
+	 * Longest wait that an endpoint can ask for, longer than it takes to restart it.
+	 */
+	static final long MAX_WAIT_NANOS = 300_000_000_000L;
+
 	/**
 	 * Weight of the newest request in the moving averages. Ten requests replace most of
 	 * the old average.
@@ -116,6 +122,33 @@
 		state.retryAt = state.pausedUntil;
 	}
 
+	/**
+	 * Records that an endpoint asked this VM to send it nothing for some time. Unlike a
+	 * pause, this holds also if no other endpoint is usable.
+	 * @param endpoint id of the endpoint
+	 * @param millis the time in milliseconds
+	 * @param now the current time in nanoseconds
+	 * @return whether it had not asked for that before
+	 */
+	public synchronized boolean askedToWait(String endpoint, long millis, long now) {
+		State state = state(endpoint, now);
+		boolean isNew = now >= state.waitUntil;
+		long nanos = Math.min(MAX_WAIT_NANOS, TimeUnit.MILLISECONDS.toNanos(millis));
+		state.waitUntil = Math.max(state.waitUntil, now + nanos);
+		return isNew;
+	}
+
+	/**
+	 * Returns whether an endpoint has asked to get nothing now.
+	 * @param endpoint id of the endpoint
+	 * @param now the current time in nanoseconds
+	 * @return whether it has
+	 */
+	public synchronized boolean isWaitAsked(String endpoint, long now) {
+		State state = this.states.get(endpoint);
+		return state != null && now < state.waitUntil;
+	}
+
 	/**
 	 * Returns whether an endpoint may get requests.
 	 * @param endpoint id of the endpoint
@@ -157,7 +190,7 @@
 
 	private State state(String endpoint, long now) {
 		if (this.states.size() > 4096) {
-			this.states.values().removeIf((state) -> now - state.usedAt > 60_000_000_000L);
+			this.states.values().removeIf((state) -> now - state.usedAt > 60_000_000_000L && now >= state.waitUntil);
 		}
 		State state = this.states.computeIfAbsent(endpoint, (id) -> new State());
 		state.usedAt = now;
@@ -181,6 +214,8 @@
 
 		private long retryAt = Long.MIN_VALUE;
 
+		private long waitUntil = Long.MIN_VALUE;
+
 		private int fullCount;
 
 		private long fullUntil = Long.MIN_VALUE;
--- a/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
+++ b/server/src/main/java/org/banyanstile/server/router/EndpointClient.java
@@ -165,6 +165,10 @@
 		if (fields.leaving()) {
 			this.leaving.accept(endpoint);
 		}
+		if (fields.waitMillis() > 0 && this.health.askedToWait(endpoint.id(), fields.waitMillis(), System.nanoTime())) {
+			this.log.stateChange("endpoint", "endpoint", endpoint.id(), "service", endpoint.service(), "waitMillis",
+					fields.waitMillis());
+		}
 		double perSecond = fields.requestsPerSecond();
 		if (this.limits.named(endpoint.id(), perSecond, System.nanoTime())) {
 			this.log.stateChange("request limit", "endpoint", endpoint.id(), "service", endpoint.service(), "perSecond",
--- a/server/src/main/java/org/banyanstile/server/router/ResponseFields.java
+++ b/server/src/main/java/org/banyanstile/server/router/ResponseFields.java
@@ -12,9 +12,11 @@
  * @param requestsPerSecond requests a second that the endpoint takes from all VMs
  * together, {@link EndpointLimits#UNLIMITED} if it names no limit
  * @param leaving whether the endpoint says that it leaves
+ * @param waitMillis time in milliseconds for which the endpoint wants no requests of this
+ * VM, 0 if it names none
  * @author banyanstile contributors
  */
 public record ResponseFields(@Nullable String attemptId, boolean sealed, boolean notRun, double requestsPerSecond,
-		boolean leaving) {
+		boolean leaving, long waitMillis) {
 
 }
--- a/server/src/main/java/org/banyanstile/server/router/RouterServices.java
+++ b/server/src/main/java/org/banyanstile/server/router/RouterServices.java
@@ -378,10 +378,11 @@
 	 * If an endpoint is cold or has named a request limit, takes a request from this VM's
 	 * share of the endpoint's request rate.
 	 * @param endpoint the endpoint
-	 * @return whether the endpoint may get the request
+	 * @return whether the endpoint may get the request, {@code false} also if it has
+	 * asked this VM to wait
 	 */
 	boolean tryAcquireRate(RegisteredEndpoint endpoint) {
-		if (!tryAcquireColdRate(endpoint)) {
+		if (this.health.isWaitAsked(endpoint.id(), System.nanoTime()) || !tryAcquireColdRate(endpoint)) {
 			return false;
 		}
 		boolean allowed = this.limits.tryTake(endpoint.id(), this.position, System.nanoTime());
