Write origins of streams sooner and look for them again

What callers saw: a stream that a caller took up within half a second of its begin was refused with 503, since the VM that began it had not written its origin yet. If that VM lost power in this time, the stream was lost.

Cause: a batch of origins was written each half second, and a VM that found none in the store refused at once.

Change: batches are written each 0.1 s, in fleets above ten VMs less often, up to the half second of before. A VM that finds no origin looks again twice, after 0.15 s each.

--- a/server/src/main/java/org/banyanstile/server/router/Router.java
+++ b/server/src/main/java/org/banyanstile/server/router/Router.java
@@ -222,7 +222,8 @@
 				() -> names(membership.alivePeers(ticker.nanos())), gossip::announceRollouts, ticker, log);
 		rolloutController.start();
 		StreamRecorder streamRecorder = StreamRecorder.start(services.streamVersions(), view, platform.source(),
-				() -> membership.rank(ticker.nanos()) == 0, ticker, log);
+				() -> membership.rank(ticker.nanos()) == 0, () -> membership.alivePeers(ticker.nanos()).size() + 1,
+				ticker, log);
 		log.lifecycle("started", "vm", settings.vm(), "callers", text(addresses.callers()));
 		return new Router(services, quotas, shutdown, log, reader, registration, gossip, scheduler, intake, server,
 				roleController, rolloutController, streamRecorder, platform.client());
--- a/server/src/main/java/org/banyanstile/server/router/StreamRecorder.java
+++ b/server/src/main/java/org/banyanstile/server/router/StreamRecorder.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 
 import org.banyanstile.core.common.Ticker;
 import org.banyanstile.core.stream.ServedVersion;
@@ -32,9 +33,21 @@
 final class StreamRecorder implements AutoCloseable {
 
 	/**
-	 * Interval between two batches. The streams of this time are lost with a VM.
+	 * Shortest interval between two batches. The streams of this time are lost with a VM.
 	 */
-	private static final long INTERVAL_MILLIS = 500;
+	private static final long INTERVAL_MILLIS = 100;
+
+	/**
+	 * Longest interval between two batches.
+	 */
+	private static final long MAX_INTERVAL_MILLIS = 500;
+
+	/**
+	 * Share of each VM in the interval. All VMs together write a hundred batches a
+	 * second, half of what a part of the store takes, until the longest interval is
+	 * reached.
+	 */
+	private static final long INTERVAL_MILLIS_PER_VM = 10;
 
 	/**
 	 * Interval at which the VM of the lowest name writes which versions serve.
@@ -68,12 +81,16 @@
 
 	private final BooleanSupplier isLowest;
 
+	private final IntSupplier vms;
+
 	private final Ticker ticker;
 
 	private final DecisionLog log;
 
 	private final Deque<String> expired = new ArrayDeque<>();
 
+	private long ranAtNanos;
+
 	private long versionsWrittenAtNanos;
 
 	private long activeAtNanos;
@@ -87,12 +104,14 @@
 	});
 
 	private StreamRecorder(StreamVersions versions, FleetView view, TableSource store, BooleanSupplier isLowest,
-			Ticker ticker, DecisionLog log) {
+			IntSupplier vms, Ticker ticker, DecisionLog log) {
 		this.versions = versions;
 		this.view = view;
 		this.store = store;
 		this.isLowest = isLowest;
+		this.vms = vms;
 		this.ticker = ticker;
+		this.ranAtNanos = ticker.nanos();
 		this.log = log;
 	}
 
@@ -102,19 +121,26 @@
 	 * @param view copy of the store's tables
 	 * @param store the store
 	 * @param isLowest whether this VM has the lowest name of all live VMs
+	 * @param vms number of live VMs
 	 * @param ticker time source
 	 * @param log log of decisions
 	 * @return the recorder
 	 */
 	static StreamRecorder start(StreamVersions versions, FleetView view, TableSource store, BooleanSupplier isLowest,
-			Ticker ticker, DecisionLog log) {
-		StreamRecorder recorder = new StreamRecorder(versions, view, store, isLowest, ticker, log);
+			IntSupplier vms, Ticker ticker, DecisionLog log) {
+		StreamRecorder recorder = new StreamRecorder(versions, view, store, isLowest, vms, ticker, log);
 		var unused = recorder.timer.scheduleWithFixedDelay(recorder::run, INTERVAL_MILLIS, INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
 		return recorder;
 	}
 
 	private void run() {
+		long now = this.ticker.nanos();
+		long interval = Math.min(MAX_INTERVAL_MILLIS, INTERVAL_MILLIS_PER_VM * this.vms.getAsInt());
+		if (now - this.ranAtNanos < TimeUnit.MILLISECONDS.toNanos(interval)) {
+			return;
+		}
+		this.ranAtNanos = now;
 		try {
 			writeBatch();
 			sweep();
--- a/server/src/main/java/org/banyanstile/server/router/StreamVersions.java
+++ b/server/src/main/java/org/banyanstile/server/router/StreamVersions.java
@@ -37,6 +37,14 @@
 	 */
 	private static final double RETRY_AFTER_SECONDS = 0.3;
 
+	/**
+	 * Pause before the store is asked once more for the origin of a stream, longer than
+	 * the VM that began it takes to write it.
+	 */
+	private static final long REREAD_MILLIS = 150;
+
+	private static final int MAX_REREADS = 2;
+
 	/**
 	 * Longest deadline of a caller relative to the time limit of its route, unless one
 	 * was longer.
@@ -156,7 +164,7 @@
 				this.log.request("stream taken up", call.id(), "resumes", attempt, "onlyVersion", version);
 				return version;
 			}
-			origin = (attempt != null) ? readOrigin(attempt) : null;
+			origin = (attempt != null) ? awaitOrigin(call, attempt) : null;
 		}
 		this.log.request("stream taken up", call.id(), "resumes", attempt, "origin", origin, "versions",
 				versions(call.service(), longestAgeNanos(call)));
@@ -248,18 +256,32 @@
 		}
 	}
 
-	private @Nullable StreamOrigin readOrigin(String attempt) {
+	// The VM that began the stream may not have written its origin yet.
+	private @Nullable StreamOrigin awaitOrigin(RouterCall call, String attempt) {
 		try {
-			StreamOrigin stored = this.store.streamOrigin(attempt);
-			if (stored != null) {
-				this.origins.read(attempt, stored, this.ticker.nanos());
+			StreamOrigin origin = readOrigin(attempt);
+			for (int i = 0; origin == null && i < MAX_REREADS && !call.isCancelledOrTimedOut(); i++) {
+				TimeUnit.MILLISECONDS.sleep(REREAD_MILLIS);
+				origin = readOrigin(attempt);
 			}
-			return stored;
+			return origin;
 		}
 		catch (TableSourceException ex) {
 			this.log.problem("the origin of stream " + attempt + " is not known; the stream is refused", ex);
 			return null;
 		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return null;
+		}
+	}
+
+	private @Nullable StreamOrigin readOrigin(String attempt) throws TableSourceException {
+		StreamOrigin stored = this.store.streamOrigin(attempt);
+		if (stored != null) {
+			this.origins.read(attempt, stored, this.ticker.nanos());
+		}
+		return stored;
 	}
 
 	/**
